In large sets one peer keeps a customer's count and tells all what is gone

Cause: with dozens of nodes in a customer's set, told one in turn, a count came minutes late; every node held a quota of its own and later took the old count for a new draw, so that it went into debt: beyond quotas and refused with room at once. Covers any large set, lost messages (a correction replaces the level), restarts. Could harm where a keeper is down for long: each node then goes by its own store.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -111,26 +111,31 @@
     AGE = 3000.0  # ms after which what was heard no longer weighs
     FORGET = 60000.0  # ms after which a customer of whom nothing is heard is dropped: one-off customers
     DEBT = 8000.0  # ms of filling that the store may owe: heard counts weigh no longer
+    TURN = 4  # most peers that are told in turn: a larger set has a keeper
+    PRESSED = 0.5  # share of the burst that is gone when the keeper starts to tell
 
-    def __init__(self, key: int, born: float) -> None:
-        self.key, self.born, self.seen = key, born, born
+    def __init__(self, key: int, born: float, number: int, nodes: int) -> None:
+        self.key, self.seen, self.number, self.nodes = key, born, number, nodes
         self.plan: Plan | None = None
         self.peers: list[int] = []
+        self.keeper, self.about = -1, ""
         self.level, self.at = 0.0, born
         self.ceiling, self.share = 0.0, 1.0
         self.count, self.told, self.turn, self.open = 0, 0, 0, 0
         self.heard: dict[int, Heard] = {}
         self.ranking: list[Srv] = []
-        self.ranked = -1
 
-    def meet(self, now: float, plan: Plan, number: int, nodes: int, first: int, spread: int) -> None:
+    def meet(self, now: float, plan: Plan, place: int, first: int, spread: int) -> None:
         self.seen = now
         if self.plan is not None:
             return
         self.plan, self.share = plan, 1.0 / max(1, spread)
-        self.peers = [p for p in ((first + i) % nodes for i in range(spread)) if p != number]
+        self.peers = [p for p in ((first + i) % self.nodes for i in range(spread)) if p != self.number]
+        if len(self.peers) > self.TURN:
+            self.keeper = (first + self.key % spread) % self.nodes
+        self.about = f"{place:x}:{first:x}:{spread:x}"
         # A new store holds one node's part; the ceiling starts empty, as an earlier life may have spent it.
-        self.level += plan.burst * self.share
+        self.level += plan.burst * (1.0 if self.keeper in self.heard else self.share)
         self.fill(now)
 
     def fill(self, now: float) -> None:
@@ -145,10 +150,12 @@
         self.fill(now)
         if (plan := self.plan) is None:
             return False
-        out = self.open + sum(h.open for h in self.heard.values() if now - h.at < self.AGE)
-        if (plan.open_cap and out >= plan.open_cap) or (plan.ceiling_rate and self.ceiling < units):
+        if plan.open_cap and self.all_out(now) >= plan.open_cap:
             return False
-        return not plan.rate or self.level >= units
+        return (not plan.rate or self.level >= units) and (not plan.ceiling_rate or self.ceiling >= units)
+
+    def all_out(self, now: float, but: int = -1) -> int:
+        return self.open + sum(h.open for p, h in self.heard.items() if p != but and now - h.at < self.AGE)
 
     def wait(self, units: int) -> float:
         rate = self.plan.rate if self.plan else 0.0
@@ -156,8 +163,8 @@
 
     def stale(self, now: float) -> bool:
         """A customer that comes back finds a full ceiling, so none is dropped before it would have filled."""
-        past, plan = now - self.seen, self.plan or Plan("", 0.0, 0.0, 0, 0.0, 0.0, 0.0)
-        filled = past * plan.ceiling_rate >= 1000.0 * plan.ceiling_burst
+        past, plan = now - self.seen, self.plan
+        filled = plan is None or past * plan.ceiling_rate >= 1000.0 * plan.ceiling_burst
         return not self.open and past > self.FORGET and filled
 
     def draw(self, units: int, ceiling: int) -> None:
@@ -165,18 +172,47 @@
         self.count += units
         self.ceiling -= ceiling
 
-    def hear(self, now: float, peer: int, life: str, count: int, out: int, gift: int) -> None:
+    def hear(self, now: float, peer: int, life: str, count: int, out: int, new: int, gift: int) -> None:
         h = self.heard.setdefault(peer, Heard())
-        # A cumulative count makes a lost or repeated message harmless; the first one that a young node hears
-        # may hold what was drawn before its life, so it only sets the base.
-        fresh = h.life == "" and now - self.born < self.AGE
-        drawn = 0 if fresh else count - h.count if h.life == life else count
+        # A cumulative count makes a lost or repeated message harmless; of the first one heard only what is
+        # new counts, as the rest may have been drawn, and refilled, before this node's life.
+        drawn = count - h.count if h.life == life else count if h.life else new
         self.seen = now
         self.fill(now)
         self.level -= drawn
         self.ceiling += gift
         h.life, h.count, h.at, h.open, h.lately = life, count, now, out, drawn
 
+    def corrected(self, now: float, peer: int, gone: int, out: int) -> None:
+        """The keeper tells what is gone of the burst by all it heard; what it has not heard comes on top."""
+        h = self.heard.setdefault(peer, Heard())
+        h.open, h.at, self.seen, self.at = out, now, now, now
+        self.level = (self.plan.burst if self.plan else 0.0) - gone - (self.count - self.told)
+
+    def news(self, now: float) -> list[tuple[int, str]]:
+        """The count, for one peer in turn. In a large set what is told in turn comes long after its use, and
+        totals pass the quota, so one peer keeps it: all tell it their counts, it tells all what is gone."""
+        plan, new = self.plan, self.count - self.told
+        if plan is None or not self.peers:
+            self.told = self.count
+            return []
+        if self.keeper == self.number:
+            self.told = self.count
+            self.fill(now)
+            gone = plan.burst - self.level
+            if not (gone >= self.PRESSED * plan.burst > 0.0 or 2 * self.all_out(now) > plan.open_cap > 0):
+                return []
+            return [(p, f"{self.key:x}:{int(gone):x}:{self.all_out(now, p):x}") for p in self.peers]
+        turn = self.turn % len(self.peers)
+        peer = self.peers[turn] if self.keeper < 0 else self.keeper
+        gift = self.gift(now, peer, new)
+        if not new and not gift and not turn:
+            return []
+        self.turn = turn + 1 if self.keeper < 0 else 0
+        if self.turn in (0, len(self.peers)):
+            self.told = self.count
+        return [(peer, f"{self.key:x}:{self.count:x}:{self.open:x}:{new:x}:{gift:x}:{self.about}")]
+
     def gift(self, now: float, peer: int, own: int) -> int:
         """Units of the ceiling for a peer with more of the traffic: taken off before the message goes."""
         plan, h = self.plan, self.heard.get(peer)
@@ -286,7 +322,7 @@
     CLOSED = 1000.0  # ms for which a server is passed over at first; doubled each time up to CLOSED_MOST
     CLOSED_MOST = 8000.0
     ASSESS = 100.0  # ms between looks at all servers
-    GOSSIP = 125.0  # ms between tellings; longer where peers take in less
+    GOSSIP = 125.0  # ms between tellings, less told where peers take in less
 
     def __init__(
         self, now: float, *, seed: int, number: int, nodes: int, tick: float,
@@ -298,20 +334,19 @@
         shortest = min(f.response_target for f in frontends)
         self.unseen = self.usual = shortest / 8.0  # a response time until one has been seen
         self.gap, self.assess_at = 1000.0, now
-        self.plans = {p.name: p for p in plans}
+        self.plans = plans
         self.cold_rule, self.allowed, self.must_ask = cold_rule, allowed, must_ask
         self.life = f"{crc32(f'{seed}/life'.encode()) & 0xFFFF:x}"
         self.servers: dict[str, Srv] = {}
         self.ready: list[Srv] = []
         self.stirred: dict[Srv, None] = {}  # with something out, or seen of late: work goes by these
         self.fleet = Ring(SPAN / 12, 12, 3)  # answers, their response times, dispatches to warm servers
-        self.version = 0
         self.reqs: dict[str, Req] = {}
         self.customers: dict[int, Customer] = {}
+        self.changed: dict[Customer, None] = {}  # whose counts peers have yet to hear
         self.theta = Theta(now, self.chance())
-        intake = 0.6 * allowed.peer_messages_per_s  # share of what a peer takes in, as every node may tell it
-        self.gossip = max(self.GOSSIP, 1000.0 * (nodes - 1) / intake if intake else 0.0)
-        self.gossip_at, self.sweep_at = now + self.gossip * self.chance(), now
+        self.mail, self.mail_at, self.mail_rate = 0.0, now, 0.6 * allowed.peer_messages_per_s / 1000.0
+        self.gossip_at, self.sweep_at = now + self.GOSSIP * self.chance(), now
         self.resends = self.RESEND_MOST
         self.awake = False
         self.window = Window(now, nodes, shortest)
@@ -349,7 +384,8 @@
                 if srv.id not in named:
                     srv.standing = Standing.GONE
         self.ready = [s for s in self.servers.values() if s.standing is Standing.READY]
-        self.version += 1
+        for customer in self.customers.values():
+            customer.ranking = []
 
     def list_failed(self) -> None:
         self.writer.subscribe()
@@ -360,8 +396,8 @@
         self.theta.arrivals += 1
         self.resends = min(self.RESEND_MOST, self.resends + self.RESEND_SHARE)
         customer = self.customer(crc32(key.encode()))
-        known = self.plans.get(plan) or Plan(plan, 0.0, 0.0, 0, 1.0, 0.0, 0.0)
-        customer.meet(self.now, known, self.number, self.nodes, int(first), int(spread))
+        place = next(i for i, known in enumerate(self.plans) if known.name == plan)
+        customer.meet(self.now, self.plans[place], place, int(first), int(spread))
         req = Req(rid, self.now, leaves, self.frontends[frontend], customer, units)
         if not customer.has_room(self.now, units):
             self.writer.deny(rid, min(self.allowed.longest_retry_after, customer.wait(units)))
@@ -375,6 +411,7 @@
             return
         self.reqs[rid] = req
         customer.draw(units, units)
+        self.changed[customer] = None
         self.send(req, srv)
 
     def deny(self, req: Req) -> None:
@@ -405,6 +442,7 @@
             self.theta.answered(req.frontend, self.now - req.arrived)
             if actual:
                 req.customer.draw(int(actual) - req.units, 0)
+                self.changed[req.customer] = None
         over = not req.out()
         if settled and not req.done:
             self.close(req)
@@ -417,12 +455,19 @@
         """A malformed message is dropped whole."""
         try:
             life, *entries = body.split(" ")
-            cut = [entry.split(":") for entry in entries]
-            rows = [(int(k, 16), int(c, 16), int(o, 16), int(g, 16)) for k, c, o, g in cut]
-        except ValueError:
+            rows = [[int(field, 16) for field in entry.split(":")] for entry in entries]
+            told = [(row, self.plans[row[5]]) for row in rows if len(row) == 8]
+            if len(told) + sum(1 for row in rows if len(row) == 3) < len(rows):
+                return
+        except (ValueError, IndexError):
             return
-        for key, count, out, gift in rows:
-            self.customer(key).hear(self.now, peer, life, count, out, gift)
+        for (key, count, out, new, gift, place, first, spread), plan in told:
+            customer = self.customer(key)
+            customer.meet(self.now, plan, place, first, spread)
+            customer.hear(self.now, peer, life, count, out, new, gift)
+            self.changed[customer] = None
+        for key, gone, out in (row for row in rows if len(row) == 3):
+            self.customer(key).corrected(self.now, peer, gone, out)
 
     def woken(self, token: int) -> None:
         self.writer.wake(BEAT, 0)
@@ -439,19 +484,18 @@
             if (before > 0.0) != (t.theta > 0.0):
                 self.writer.log(f"shedding {'off' if before else 'on'} theta={t.theta:.2f} r={t.r:.2f}")
         if self.now >= self.gossip_at:
-            self.gossip_at = self.now + self.gossip
+            self.gossip_at = self.now + self.GOSSIP
             self.tell_peers()
 
     # Choice of server
 
     def customer(self, key: int) -> Customer:
         if key not in self.customers:
-            self.customers[key] = Customer(key, self.born)
+            self.customers[key] = Customer(key, self.born, self.number, self.nodes)
         return self.customers[key]
 
     def ranking(self, customer: Customer) -> list[Srv]:
-        if customer.ranked != self.version:
-            customer.ranked = self.version
+        if not customer.ranking:
             key = customer.key
             customer.ranking = sorted(self.ready, key=lambda s: (s.hash ^ key) * 2654435761 % 2**32)
         return customer.ranking
@@ -472,10 +516,6 @@
                 s.mean, s.was = 0.0, 1.0
                 del self.stirred[s]
 
-    def fit(self, srv: Srv) -> bool:
-        """Not failing; one that failed is tried again with one dispatch at a time."""
-        return not srv.strikes or (self.now >= srv.closed_until and not srv.out)
-
     def cold_room(self, srv: Srv) -> bool:
         """A cold server takes its sure share of what a warm one is sent, one at a time at the start."""
         warmth = srv.warmth(self.now, self.cold_rule)
@@ -494,7 +534,8 @@
             able = [s for s in able if s.place(group) == risky.srv.place(group)]
         tried = {d.srv for d in req.dispatches}
         able = [s for s in able if s not in tried] or [s for s in able if not risky]
-        fit = [s for s in able if self.fit(s)] or able
+        # Not failing; one that failed is tried again with one dispatch at a time.
+        fit = [s for s in able if not s.strikes or (self.now >= s.closed_until and not s.out)] or able
         if not fit:
             return None
         # Response time of one more req: the mean of late, scaled by what is out over what was (Little).
@@ -585,29 +626,22 @@
     # Peers
 
     def tell_peers(self) -> None:
-        """Each customer's cumulative count goes to one peer of its set, in turn, if it changed."""
         if self.now >= self.sweep_at:
             self.sweep_at = self.now + Customer.FORGET / 12
             self.customers = {k: c for k, c in self.customers.items() if not c.stale(self.now)}
-        if not self.allowed.peers:
-            return
-        parts: dict[int, list[str]] = {}
-        for c in self.customers.values():
-            if c.plan is None or not c.peers:
-                continue
-            peer = c.peers[c.turn % len(c.peers)]
-            gift = c.gift(self.now, peer, c.count - c.told)
-            if c.count == c.told and not gift and c.turn % len(c.peers) == 0:
-                continue
-            c.turn += 1
-            if c.turn % len(c.peers) == 0:
-                c.told = c.count
-            parts.setdefault(peer, []).append(f"{c.key:x}:{c.count:x}:{max(0, c.open):x}:{gift:x}")
-        for peer, entries in parts.items():
-            body = self.life
-            for entry in entries:
-                if len(body) + 1 + len(entry) > MESSAGE_BYTES:
-                    self.writer.tell(peer, body)
-                    body = self.life
-                body += " " + entry
+        self.mail = min(2.0 + 1000.0 * self.mail_rate, self.mail + self.mail_rate * (self.now - self.mail_at))
+        self.mail_at = self.now
+        bodies: dict[int, str] = {}
+        for c in list(self.changed) if self.allowed.peers else []:
+            if len(bodies) >= self.mail:
+                break  # the rest has its turn when more may be told
+            del self.changed[c]
+            for peer, entry in c.news(self.now):
+                if len(bodies.get(peer, "")) + 1 + len(entry) > MESSAGE_BYTES:
+                    self.writer.tell(peer, bodies.pop(peer))
+                bodies[peer] = f"{bodies.get(peer, self.life)} {entry}"
+            if c.count != c.told:
+                self.changed[c] = None
+        self.mail -= len(bodies)
+        for peer, body in bodies.items():
             self.writer.tell(peer, body)
