A keeper's reports do not silence it; up to eight peers in turn, so that ceilings move

Cause: a node tells less when much comes in, and the keeper of a customer with much traffic hears more than anybody: it fell silent just when all needed it. Reports no longer count. Sets of up to nine tell in turn, as only there units of ceilings are handed on.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -111,7 +111,7 @@
     AGE = 3000.0  # ms after which what was heard no longer weighs
     FORGET = 60000.0  # ms after which a customer of whom nothing is heard is dropped: one-off customers
     DEBT = 1000.0  # ms of filling that the store may owe: heard counts weigh no longer
-    TURN = 4  # most peers that are told in turn: a larger set has a keeper
+    TURN = 8  # most peers that are told in turn: a larger set has a keeper
     PRESSED = 0.5  # share of the burst that is gone when the keeper starts to tell
 
     def __init__(self, key: int, born: float, number: int, nodes: int) -> None:
@@ -261,7 +261,7 @@
 class Dispatch:
     def __init__(self, req: Req, srv: Srv, number: int, sent: float) -> None:
         self.req, self.srv, self.number, self.sent = req, srv, number, sent
-        self.out, self.cancelled, self.may_have_run = True, False, True
+        self.out, self.may_have_run = True, True
 
 
 class Req:
@@ -375,20 +375,13 @@
     # What comes in
 
     def listed(self, complete: bool, rows: list[ListRow]) -> None:
-        named = set()
+        for srv in self.servers.values() if complete else []:
+            srv.standing = Standing.GONE  # but those named
         for row in rows:
-            named.add(row.server)
-            if row.server in self.servers:
-                srv = self.servers[row.server]
-                if row.started != srv.started:  # a new process: what was seen of the old one is void
-                    srv.forget()
-                srv.take(row)
-            else:
-                self.servers[row.server] = Srv(row)
-        if complete:
-            for srv in self.servers.values():
-                if srv.id not in named:
-                    srv.standing = Standing.GONE
+            srv = self.servers[row.server] = self.servers.get(row.server) or Srv(row)
+            if row.started != srv.started:  # a new process: what was seen of the old one is void
+                srv.forget()
+            srv.take(row)
         self.ready = [s for s in self.servers.values() if s.standing is Standing.READY]
         for customer in self.customers.values():
             customer.ranking = []
@@ -459,7 +452,6 @@
 
     def told(self, peer: int, body: str) -> None:
         """A malformed message is dropped whole."""
-        self.mail.add(self.now, 1.0)
         try:
             life, *entries = body.split(" ")
             rows = [[int(field, 16) for field in entry.split(":")] for entry in entries]
@@ -473,6 +465,8 @@
             customer.meet(self.now, plan, place, first, spread)
             customer.hear(self.now, peer, life, count, out, new, gift)
             self.changed[customer] = None
+        if not told or self.customers[told[0][0][0]].keeper < 0:  # a keeper that hears much must not fall silent
+            self.mail.add(self.now, 1.0)
         for key, gone, out in (row for row in rows if len(row) == 3):
             self.customer(key).corrected(self.now, peer, gone, out)
 
@@ -591,8 +585,7 @@
     def close(self, req: Req) -> None:
         req.done = True
         for d in req.dispatches:
-            if d.out and not d.cancelled and self.allowed.cancel and not req.streaming:
-                d.cancelled = True
+            if d.out and self.allowed.cancel and not req.streaming:
                 self.writer.cancel(req.id, d.number)
         if not req.out():
             self.reqs.pop(req.id, None)
