Try: counts carry how servers lately answered the sender

Expected: slow servers known from peers too, where a node sees a tenth of an answer a second of each server. Conclusion: what all hear, all act on at once; the nodes leave and return to the same servers together.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -111,7 +111,7 @@
     AGE = 3000.0  # ms after which what was heard no longer weighs
     FORGET = 60000.0  # ms after which a customer of whom nothing is heard is dropped: one-off customers
     DEBT = 1000.0  # ms of filling that the store may owe: heard counts weigh no longer
-    TURN = 8  # most peers that are told in turn: a larger set has a keeper
+    TURN = 4  # most peers that are told in turn: a larger set has a keeper
     PRESSED = 0.5  # share of the burst that is gone when the keeper starts to tell
 
     def __init__(self, key: int, born: float, number: int, nodes: int) -> None:
@@ -130,7 +130,7 @@
             return
         self.plan, self.share = plan, 1.0 / max(1, spread)
         self.peers = [p for p in ((first + i) % self.nodes for i in range(spread)) if p != self.number]
-        if len(self.peers) > self.TURN:
+        if len(self.peers) > self.TURN and not plan.ceiling_rate:
             self.keeper = (first + self.key % spread) % self.nodes
         self.about = f"{place:x}:{first:x}:{spread:x}"
         # A new store holds one node's part, but all in a large set, where a part is less than a req and the
@@ -239,13 +239,13 @@
         self.take(row)
         self.forget()
         self.cold_next, self.mean, self.was = 0.0, 0.0, 1.0  # mean 0: nothing seen of late, the usual holds
-        self.hash = crc32(row.server.encode())
+        self.hash = crc32(row.server.encode()) & 0xFFFFFF
 
     def take(self, row: ListRow) -> None:
         self.hall, self.cell, self.standing, self.started = row.hall, row.cell, row.standing, row.started
 
     def forget(self) -> None:
-        self.seen = Ring(SPAN / 12, 12, 3)  # answers, their response times, failures
+        self.seen = Ring(SPAN / 12, 12, 4)  # answers, their response times, failures, times of own answers
         self.closed_until, self.strikes = 0.0, 0
 
     def place(self, group: Group) -> str | int:
@@ -327,6 +327,7 @@
     FAILED_SHARE = 0.35  # a server failing more of its dispatches is passed over
     CLOSED = 1000.0  # ms for which a server is passed over at first; doubled each time up to CLOSED_MOST
     CLOSED_MOST = 8000.0
+    SIGHTS = 6  # servers' latest answers that go with a count
     ASSESS = 100.0  # ms between looks at all servers
     GOSSIP = 50.0  # ms between tellings
     INTAKE = 0.7  # share of what a peer takes in at which telling waits
@@ -346,6 +347,8 @@
         self.life = f"{crc32(f'{seed}/life'.encode()) & 0xFFFF:x}"
         self.servers: dict[str, Srv] = {}
         self.ready: list[Srv] = []
+        self.hashes: dict[int, Srv] = {}
+        self.sights: list[str] = []  # how servers lately answered here, for peers
         self.stirred: dict[Srv, None] = {}  # with something out, or seen of late: work goes by these
         self.fleet = Ring(SPAN / 12, 12, 3)  # answers, their response times, dispatches to warm servers
         self.reqs: dict[str, Req] = {}
@@ -382,6 +385,7 @@
             if row.started != srv.started:  # a new process: what was seen of the old one is void
                 srv.forget()
             srv.take(row)
+        self.hashes = {s.hash: s for s in self.servers.values()}
         self.ready = [s for s in self.servers.values() if s.standing is Standing.READY]
         for customer in self.customers.values():
             customer.ranking = []
@@ -456,7 +460,7 @@
             life, *entries = body.split(" ")
             rows = [[int(field, 16) for field in entry.split(":")] for entry in entries]
             told = [(row, self.plans[row[5]]) for row in rows if len(row) == 8]
-            if len(told) + sum(1 for row in rows if len(row) == 3) < len(rows):
+            if len(told) + sum(1 for row in rows if len(row) in (2, 3)) < len(rows):
                 return
         except (ValueError, IndexError):
             return
@@ -467,6 +471,10 @@
             self.changed[customer] = None
         if not told or self.customers[told[0][0][0]].keeper < 0:  # a keeper that hears much must not fall silent
             self.mail.add(self.now, 1.0)
+        for mark, waited in (row for row in rows if len(row) == 2):
+            if (srv := self.hashes.get(mark)) is not None:
+                srv.seen.add(self.now, 1.0, waited)
+                self.stirred[srv] = None
         for key, gone, out in (row for row in rows if len(row) == 3):
             self.customer(key).corrected(self.now, peer, gone, out)
 
@@ -513,7 +521,7 @@
             ages = [now - d.sent for d in s.out if now - d.sent > self.usual]
             total = s.seen.total(now, 1)
             s.mean = (total + sum(ages) + 2.0 * self.usual) / (s.seen.total(now, 0) + len(ages) + 2.0)
-            s.was = total / SPAN + 1.0
+            s.was = s.seen.total(now, 3) / SPAN + 1.0
             if not s.out and not s.seen.total(now, 0) and not s.seen.total(now, 2):
                 s.mean, s.was = 0.0, 1.0
                 del self.stirred[s]
@@ -539,7 +547,7 @@
             return None
         # Response time of one more req: the mean of late, scaled by what is out over what was (Little).
         ahead = [(s.mean or self.usual) * (len(s.out) + 1.0) / s.was for s in fit]
-        enough = self.MARGIN * min(ahead)
+        enough = self.MARGIN * max(min(ahead), self.usual)
         return next(s for s, response in zip(fit, ahead, strict=True) if response <= enough)
 
     def send(self, req: Req, srv: Srv) -> None:
@@ -594,11 +602,15 @@
 
     def judge(self, d: Dispatch, result: Result, waited: float) -> None:
         srv = d.srv
+        if result not in (Result.CANCELLED, Result.UNUSED, Result.FULL):
+            good = result in (Result.OK, Result.EXPIRED)
+            slow = waited if good else d.req.frontend.response_target
+            self.sights = [*self.sights[1 - self.SIGHTS :], f"{srv.hash:x}:{int(slow):x}"]
         if result in (Result.CANCELLED, Result.UNUSED, Result.FULL):
             return
         if result in (Result.OK, Result.EXPIRED):
             self.window.answered(self.now, d, waited)
-            srv.seen.add(self.now, 1.0, waited)
+            srv.seen.add(self.now, 1.0, waited, 0.0, waited)
             self.fleet.add(self.now, 1.0, waited)
             if result is Result.OK and srv.strikes and self.now >= srv.closed_until:
                 srv.strikes -= 1
@@ -635,7 +647,9 @@
             for peer, entry in c.news(self.now):
                 if len(bodies.get(peer, "")) + 1 + len(entry) > MESSAGE_BYTES:
                     self.writer.tell(peer, bodies.pop(peer))
-                bodies[peer] = f"{bodies.get(peer, self.life)} {entry}"
+                if peer not in bodies:
+                    bodies[peer] = " ".join([self.life, *(self.sights if c.keeper != self.number else [])])
+                bodies[peer] += " " + entry
             if c.count != c.told:
                 self.changed[c] = None
         for peer, body in bodies.items():
