A server has enough from 1.2 times the best; what peers saw is taken back

Cause: with few answers a node does best to stay with servers that it knows to be quick, and 1.5 let it go to unknown ones.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -239,13 +239,13 @@
         self.take(row)
         self.forget()
         self.cold_next, self.mean, self.was = 0.0, 0.0, 1.0  # mean 0: nothing seen of late, the usual holds
-        self.hash = crc32(row.server.encode()) & 0xFFFFFF
+        self.hash = crc32(row.server.encode())
 
     def take(self, row: ListRow) -> None:
         self.hall, self.cell, self.standing, self.started = row.hall, row.cell, row.standing, row.started
 
     def forget(self) -> None:
-        self.seen = Ring(SPAN / 12, 12, 4)  # answers, their response times, failures, times of own answers
+        self.seen = Ring(SPAN / 12, 12, 3)  # answers, their response times, failures
         self.closed_until, self.strikes = 0.0, 0
 
     def place(self, group: Group) -> str | int:
@@ -320,14 +320,13 @@
 
 
 class Gateway:
-    MARGIN = 1.5  # a server has enough when its expected response is so many times the least
+    MARGIN = 1.2  # a server has enough when its expected response is so many times the least
     COME_BACK = 0.03  # share of the response target after which one denied for lack of room may come again
     RESEND_SHARE = 0.2  # further dispatches for each arrival
     RESEND_MOST = 10.0
     FAILED_SHARE = 0.35  # a server failing more of its dispatches is passed over
     CLOSED = 1000.0  # ms for which a server is passed over at first; doubled each time up to CLOSED_MOST
     CLOSED_MOST = 8000.0
-    SIGHTS = 6  # servers' latest answers that go with a count
     ASSESS = 100.0  # ms between looks at all servers
     GOSSIP = 50.0  # ms between tellings
     INTAKE = 0.7  # share of what a peer takes in at which telling waits
@@ -347,8 +346,6 @@
         self.life = f"{crc32(f'{seed}/life'.encode()) & 0xFFFF:x}"
         self.servers: dict[str, Srv] = {}
         self.ready: list[Srv] = []
-        self.hashes: dict[int, Srv] = {}
-        self.sights: list[str] = []  # how servers lately answered here, for peers
         self.stirred: dict[Srv, None] = {}  # with something out, or seen of late: work goes by these
         self.fleet = Ring(SPAN / 12, 12, 3)  # answers, their response times, dispatches to warm servers
         self.reqs: dict[str, Req] = {}
@@ -385,7 +382,6 @@
             if row.started != srv.started:  # a new process: what was seen of the old one is void
                 srv.forget()
             srv.take(row)
-        self.hashes = {s.hash: s for s in self.servers.values()}
         self.ready = [s for s in self.servers.values() if s.standing is Standing.READY]
         for customer in self.customers.values():
             customer.ranking = []
@@ -460,7 +456,7 @@
             life, *entries = body.split(" ")
             rows = [[int(field, 16) for field in entry.split(":")] for entry in entries]
             told = [(row, self.plans[row[5]]) for row in rows if len(row) == 8]
-            if len(told) + sum(1 for row in rows if len(row) in (2, 3)) < len(rows):
+            if len(told) + sum(1 for row in rows if len(row) == 3) < len(rows):
                 return
         except (ValueError, IndexError):
             return
@@ -471,10 +467,6 @@
             self.changed[customer] = None
         if not told or self.customers[told[0][0][0]].keeper < 0:  # a keeper that hears much must not fall silent
             self.mail.add(self.now, 1.0)
-        for mark, waited in (row for row in rows if len(row) == 2):
-            if (srv := self.hashes.get(mark)) is not None:
-                srv.seen.add(self.now, 1.0, waited)
-                self.stirred[srv] = None
         for key, gone, out in (row for row in rows if len(row) == 3):
             self.customer(key).corrected(self.now, peer, gone, out)
 
@@ -521,7 +513,7 @@
             ages = [now - d.sent for d in s.out if now - d.sent > self.usual]
             total = s.seen.total(now, 1)
             s.mean = (total + sum(ages) + 2.0 * self.usual) / (s.seen.total(now, 0) + len(ages) + 2.0)
-            s.was = s.seen.total(now, 3) / SPAN + 1.0
+            s.was = total / SPAN + 1.0
             if not s.out and not s.seen.total(now, 0) and not s.seen.total(now, 2):
                 s.mean, s.was = 0.0, 1.0
                 del self.stirred[s]
@@ -547,7 +539,7 @@
             return None
         # Response time of one more req: the mean of late, scaled by what is out over what was (Little).
         ahead = [(s.mean or self.usual) * (len(s.out) + 1.0) / s.was for s in fit]
-        enough = self.MARGIN * max(min(ahead), self.usual)
+        enough = self.MARGIN * min(ahead)
         return next(s for s, response in zip(fit, ahead, strict=True) if response <= enough)
 
     def send(self, req: Req, srv: Srv) -> None:
@@ -602,15 +594,11 @@
 
     def judge(self, d: Dispatch, result: Result, waited: float) -> None:
         srv = d.srv
-        if result not in (Result.CANCELLED, Result.UNUSED, Result.FULL):
-            good = result in (Result.OK, Result.EXPIRED)
-            slow = waited if good else d.req.frontend.response_target
-            self.sights = [*self.sights[1 - self.SIGHTS :], f"{srv.hash:x}:{int(slow):x}"]
         if result in (Result.CANCELLED, Result.UNUSED, Result.FULL):
             return
         if result in (Result.OK, Result.EXPIRED):
             self.window.answered(self.now, d, waited)
-            srv.seen.add(self.now, 1.0, waited, 0.0, waited)
+            srv.seen.add(self.now, 1.0, waited)
             self.fleet.add(self.now, 1.0, waited)
             if result is Result.OK and srv.strikes and self.now >= srv.closed_until:
                 srv.strikes -= 1
@@ -647,9 +635,7 @@
             for peer, entry in c.news(self.now):
                 if len(bodies.get(peer, "")) + 1 + len(entry) > MESSAGE_BYTES:
                     self.writer.tell(peer, bodies.pop(peer))
-                if peer not in bodies:
-                    bodies[peer] = " ".join([self.life, *(self.sights if c.keeper != self.number else [])])
-                bodies[peer] += " " + entry
+                bodies[peer] = f"{bodies.get(peer, self.life)} {entry}"
             if c.count != c.told:
                 self.changed[c] = None
         for peer, body in bodies.items():
