--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -320,7 +320,7 @@
 
 
 class Gateway:
-    MARGIN = 1.2  # a server has enough when its expected response is so many times the least
+    MARGIN = 1.1  # a server has enough when its expected response is so many times the least
     COME_BACK = 0.03  # share of the response target after which one denied for lack of room may come again
     RESEND_SHARE = 0.2  # further dispatches for each arrival
     RESEND_MOST = 10.0
@@ -460,12 +460,14 @@
                 return
         except (ValueError, IndexError):
             return
+        counts = not told
         for (key, count, out, new, gift, place, first, spread), plan in told:
             customer = self.customer(key)
             customer.meet(self.now, plan, place, first, spread)
             customer.hear(self.now, peer, life, count, out, new, gift)
             self.changed[customer] = None
-        if not told or self.customers[told[0][0][0]].keeper < 0:  # a keeper that hears much must not fall silent
+            counts = counts or customer.keeper < 0
+        if counts:  # reports do not: a keeper that hears much must not fall silent
             self.mail.add(self.now, 1.0)
         for key, gone, out in (row for row in rows if len(row) == 3):
             self.customer(key).corrected(self.now, peer, gone, out)
@@ -497,7 +499,7 @@
 
     def ranking(self, customer: Customer) -> list[Srv]:
         if not customer.ranking:
-            # In a large set each node has a ranking of its own: all would send to one server, each seeing little.
+            # In a large set each node ranks for itself: all would send to one server, each seeing little of it.
             key = customer.key ^ (crc32(f"{self.number}".encode()) if customer.keeper >= 0 else 0)
             customer.ranking = sorted(self.ready, key=lambda s: (s.hash ^ key) * 2654435761 % 2**32)
         return customer.ranking
