--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -499,7 +499,7 @@
 
     def ranking(self, customer: Customer) -> list[Srv]:
         if not customer.ranking:
-            # In a large set each node ranks for itself: all would send to one server, each seeing little of it.
+            # In a large set each node ranks for itself: all would send to one server, each seeing little.
             key = customer.key ^ (crc32(f"{self.number}".encode()) if customer.keeper >= 0 else 0)
             customer.ranking = sorted(self.ready, key=lambda s: (s.hash ^ key) * 2654435761 % 2**32)
         return customer.ranking
