Cold servers whose turn it is go first, at their sure share

Now a cold server whose interval has passed is taken first, at the rate that its sure share allows, each node's first anywhere in its interval. Servers are judged by 6 s of answers in place of 3. Could harm where a server that starts is bad: it gets its share while nothing is out there, until failures close it.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -15,7 +15,7 @@
 from onyxpost.interface import Result, Standing, Writer
 
 BEAT = 50.0  # ms between rounds of housekeeping
-SPAN = 3000.0  # ms over which a server's answers count: enough of them to judge, yet quick to forget
+SPAN = 6000.0  # ms over which a server's answers count: enough of them to judge, yet quick to forget
 MESSAGE_BYTES = 256  # the most that one peer message holds
 
 
@@ -236,9 +236,9 @@
     def __init__(self, row: ListRow) -> None:
         self.id = row.server
         self.out: dict[Dispatch, None] = {}
-        self.take(row)
-        self.forget()
-        self.cold_next, self.mean, self.was = 0.0, 0.0, 1.0  # mean 0: nothing seen of late, the usual holds
+        self.started = -1.0  # its first row counts as a start
+        # When last sent to while cold, the part of its interval to wait; a mean of 0: the usual holds.
+        self.cold_at, self.cold_part, self.mean, self.was = 0.0, 0.0, 0.0, 1.0
         self.hash = crc32(row.server.encode())
 
     def take(self, row: ListRow) -> None:
@@ -381,6 +381,7 @@
             srv = self.servers[row.server] = self.servers.get(row.server) or Srv(row)
             if row.started != srv.started:  # a new process: what was seen of the old one is void
                 srv.forget()
+                srv.cold_at, srv.cold_part = self.now, self.chance()
             srv.take(row)
         self.ready = [s for s in self.servers.values() if s.standing is Standing.READY]
         for customer in self.customers.values():
@@ -521,9 +522,10 @@
                 del self.stirred[s]
 
     def cold_room(self, srv: Srv) -> bool:
-        """A cold server takes its sure share of what a warm one is sent, one at a time at the start."""
+        """A cold server gets its sure share of what a warm one is sent, each node's first at any time in its
+        interval: all nodes' firsts at once would push it over."""
         warmth = srv.warmth(self.now, self.cold_rule)
-        return warmth >= 1.0 or (self.now >= srv.cold_next and len(srv.out) < 1 + int(4 * warmth))
+        return warmth >= 1.0 or self.now >= srv.cold_at + srv.cold_part * self.gap / warmth
 
     def pick(self, req: Req) -> Srv | None:
         ranking = self.ranking(req.customer)
@@ -537,8 +539,10 @@
         able = [s for s in able if s not in tried] or [s for s in able if not risky]
         # Not failing; one that failed is tried again with one dispatch at a time.
         fit = [s for s in able if not s.strikes or (self.now >= s.closed_until and not s.out)] or able
-        if not fit:
-            return None
+        # Cold servers whose turn it is go first: unknown, they would get nothing beside those known.
+        cold = next((s for s in fit if not s.out and s.warmth(self.now, self.cold_rule) < 1.0), None)
+        if cold is not None or not fit:
+            return cold
         # Response time of one more req: the mean of late, scaled by what is out over what was (Little).
         ahead = [(s.mean or self.usual) * (len(s.out) + 1.0) / s.was for s in fit]
         enough = self.MARGIN * min(ahead)
@@ -554,7 +558,7 @@
         if warmth >= 1.0:
             self.fleet.add(self.now, 0.0, 0.0, 1.0)
         else:
-            srv.cold_next = self.now + self.gap / (warmth * max(1.0, self.cold_rule.multiple / 2.0))
+            srv.cold_at, srv.cold_part = self.now, 1.0
         until = req.leaves - self.now
         if req.frontend.late_value <= 0.0:
             until = min(until, max(self.tick, req.due - self.now - 2.0 * self.tick - 2.0))
