--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -129,7 +129,8 @@
         if self.plan is not None:
             return
         self.plan, self.share = plan, 1.0 / max(1, spread)
-        self.peers = [p for p in ((first + i) % self.nodes for i in range(spread)) if p != self.number]
+        members = [(first + i) % self.nodes for i in range(min(spread, self.nodes))]  # a peer may name any number
+        self.peers = [p for p in members if p != self.number]
         if len(self.peers) > self.TURN and not plan.ceiling_rate:
             self.keeper = (first + self.key % spread) % self.nodes
         self.about = f"{place:x}:{first:x}:{spread:x}"
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -251,6 +251,8 @@
         for body in ("", "x", "1 2:3", "1 zz:1:0", "1 a:1:0 b", "1 a:1:0:1:0:7:0:3"):
             self.assertEqual(host.feed("told", 1, body), [])
         self.assertEqual(host.gateway.customers, {})
+        host.feed("told", 1, "1 a:1:0:1:0:0:0:fffff")  # a set larger than all nodes together
+        self.assertLess(len(host.gateway.customers[10].peers), 3)
 
     def test_a_new_life_does_not_count_on_a_full_ceiling(self) -> None:
         host = Host(plan=Plan("p", 100.0, 300.0, 0, 1.0, 3.0, 30.0))
