--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -129,7 +129,7 @@
         if self.plan is not None:
             return
         self.plan, self.share = plan, 1.0 / max(1, spread)
-        members = [(first + i) % self.nodes for i in range(min(spread, self.nodes))]  # a peer may name any number
+        members = [(first + i) % self.nodes for i in range(min(spread, self.nodes))]  # peers may err
         self.peers = [p for p in members if p != self.number]
         if len(self.peers) > self.TURN and not plan.ceiling_rate:
             self.keeper = (first + self.key % spread) % self.nodes
