--- /dev/null
+++ b/onyxpost/edge/clients.py
@@ -0,0 +1,180 @@
+"""Clients' connections: reqs in, answers out. I/O only."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import h11
+
+from onyxpost.deployment import Deployment
+from onyxpost.edge import messages as m
+
+IDLE = 75_000.0  # ms that a connection may stand between reqs
+SLOW = 15_000.0  # ms in which a req that has begun must be whole
+READ = 65536
+
+
+class Client:
+    """One connection. A req at a time; while it waits for its answer, reading goes on to see it leave."""
+
+    def __init__(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.number, self.reader, self.writer = number, reader, writer
+        self.http = h11.Connection(h11.SERVER)
+        self.since = 0.0  # when it last began to wait for a req, or got the first of one
+        self.waits = False  # for the answer to a req that was handed on
+        self.begun = False  # some of a req is here
+        self.request: h11.Request | None = None
+        self.body = bytearray()
+
+    def idle(self) -> bool:
+        return not self.waits and not self.begun
+
+
+class Clients:
+    def __init__(
+        self, deployment: Deployment, clock: Callable[[], float], post: Callable[[m.Incoming], None],
+        ready: Callable[[], bool], room: Callable[[], bool], fault: Callable[[str, BaseException], None],
+    ) -> None:  # fmt: skip
+        self.deployment, self.clock, self.post, self.ready, self.room = deployment, clock, post, ready, room
+        self.fault = fault
+        self.open: dict[int, Client] = {}
+        self.opened = 0
+        self.leaving = False
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, address: m.Address) -> None:
+        self.server = await asyncio.start_server(self.serve, *address, limit=READ, backlog=1024)
+
+    def stop_listening(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        client = Client(self.opened, reader, writer)
+        client.since = self.clock()
+        self.open[client.number] = client
+        try:
+            if not self.room():
+                self.reply(client, 503, [(b"Retry-After", b"1")], b"")
+                return
+            while not writer.transport.is_closing():
+                data = await reader.read(READ)
+                if client.waits and len(client.http.trailing_data[0]) + len(data) > 2 * READ:
+                    return
+                client.http.receive_data(data)
+                if not client.waits:
+                    client.begun = client.begun or bool(data)
+                    self.take(client)
+                if not data:
+                    return
+        except OSError:
+            pass
+        except Exception as err:
+            self.fault("client", err)
+        finally:
+            self.gone(client)
+
+    def gone(self, client: Client) -> None:
+        self.open.pop(client.number, None)
+        client.writer.close()
+        if client.waits:
+            client.waits = False
+            self.post(m.ClientLeft(client.number))
+
+    def take(self, client: Client) -> None:
+        """What has come in, as far as it goes."""
+        http = client.http
+        try:
+            while not client.waits and (event := http.next_event()) is not h11.NEED_DATA:
+                match event:
+                    case h11.Request():
+                        client.request, client.body = event, bytearray()
+                        client.begun = True
+                    case h11.Data(data=data):
+                        client.body += data
+                        if len(client.body) > m.BODY_MOST:
+                            raise m.Refusal(413, "body over 64 KiB")
+                    case h11.EndOfMessage():
+                        self.whole(client)
+                    case _:
+                        return
+            if http.they_are_waiting_for_100_continue:
+                data = http.send(h11.InformationalResponse(status_code=100, headers=[]))
+                client.writer.write(data or b"")
+        except h11.RemoteProtocolError as err:
+            self.reply(client, max(400, err.error_status_hint), [], str(err).encode()[:200], close=True)
+        except m.Refusal as err:
+            self.reply(client, err.status, [], str(err).encode(), close=http.their_state is not h11.DONE)
+
+    def whole(self, client: Client) -> None:
+        request = client.request
+        assert request is not None
+        client.begun = False
+        if request.target == b"/healthz" and request.method in (b"GET", b"HEAD"):
+            self.reply(client, 200 if self.ready() else 503, [], b"")
+            return
+        asked = m.asked(client.number, self.clock(), request, bytes(client.body), self.deployment)
+        client.waits = True
+        self.post(asked)
+
+    def answer(self, answer: m.Answer) -> None:
+        client = self.open.get(answer.client)
+        if client is None or not client.waits:
+            return
+        client.waits = False
+        self.reply(client, *m.answer(answer, self.leaving))
+        if not client.writer.transport.is_closing():
+            self.take(client)  # what it sent meanwhile
+
+    def reply(
+        self, client: Client, status: int, headers: m.Headers, body: bytes, close: bool = False
+    ) -> None:
+        http = client.http
+        client.begun = False
+        client.since = self.clock()
+        if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            client.writer.close()
+            return
+        if not any(name == b"Content-Length" for name, _ in headers):
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        if close or (self.leaving and not any(name == b"Connection" for name, _ in headers)):
+            headers = [*headers, (b"Connection", b"close")]
+        data = http.send(h11.Response(status_code=status, headers=headers)) or b""
+        if body and (client.request is None or client.request.method != b"HEAD"):
+            data += http.send(h11.Data(data=body)) or b""
+        client.writer.write(data + (http.send(h11.EndOfMessage()) or b""))
+        if http.our_state is h11.MUST_CLOSE or http.their_state is not h11.DONE:
+            client.writer.close()
+        else:
+            http.start_next_cycle()
+            client.request = None
+
+    def close_idle(self, most: int | None = None) -> int:
+        """Close connections between reqs, those that have stood longest first."""
+        idle = sorted((c for c in self.open.values() if c.idle()), key=lambda c: c.since)[:most]
+        for client in idle:
+            client.writer.close()
+        return len(idle)
+
+    def sweep(self) -> None:
+        now = self.clock()
+        for client in list(self.open.values()):
+            if not client.waits and now - client.since > (SLOW if client.begun else IDLE):
+                client.writer.transport.abort()
+
+    async def finish(self, wait: float) -> None:
+        """Close all; what is still to be written gets this long, in ms."""
+        clients = list(self.open.values())
+        for client in clients:
+            client.writer.close()
+        if clients:
+            waits = [asyncio.ensure_future(client.writer.wait_closed()) for client in clients]
+            _, late = await asyncio.wait(waits, timeout=wait / 1000.0)
+            for wait_closed in late:
+                wait_closed.cancel()
+        if self.server is not None:
+            with contextlib.suppress(OSError):
+                self.server.close()
--- /dev/null
+++ b/onyxpost/edge/discovery.py
@@ -0,0 +1,84 @@
+"""Watches the list of servers that discovery's agent holds. I/O only."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from onyxpost.deployment import Unreadable
+from onyxpost.edge import messages as m
+
+WAIT = 5000  # ms that one watch may wait
+GRACE = 1000.0  # ms past that wait in which a live agent answers
+AGAIN = 100.0  # ms before the next try: within the 200 ms that keep a watch
+LIST_MOST = 8 * 1024 * 1024
+READ = 65536
+
+
+class Discovery:
+    def __init__(
+        self, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
+        log: Callable[[m.Log], None],
+    ) -> None:  # fmt: skip
+        self.address, self.generation, self.post, self.log = address, generation, post, log
+        self.down = False
+
+    async def watch(self) -> None:
+        while True:
+            try:
+                await self.watch_on_one()
+            except (OSError, EOFError, TimeoutError, h11.ProtocolError, Unreadable) as err:
+                if not self.down:
+                    self.down = True
+                    self.log(m.Log("discovery down", {"cause": f"{type(err).__name__}: {err}"[:200]}))
+                    self.post(m.ListFailed())
+                await asyncio.sleep(AGAIN / 1000.0)
+
+    async def watch_on_one(self) -> None:
+        """Watch after watch on one connection, until it fails."""
+        async with asyncio.timeout(GRACE / 1000.0):
+            reader, writer = await asyncio.open_connection(*self.address, limit=READ)
+        try:
+            http = h11.Connection(h11.CLIENT)
+            while http.our_state is h11.IDLE:
+                writer.write(self.request(http))
+                async with asyncio.timeout((WAIT + GRACE) / 1000.0):
+                    status, text = await self.response(http, reader)
+                if status != 200:
+                    raise Unreadable(f"status {status}")
+                listed = m.listed(text)
+                if self.down:
+                    self.down = False
+                    self.log(m.Log("discovery up", {"generation": listed.generation}))
+                self.generation = listed.generation
+                if listed.rows or listed.complete:
+                    self.post(listed)
+                if http.our_state is h11.DONE and http.their_state is h11.DONE:
+                    http.start_next_cycle()
+        finally:
+            writer.transport.abort()
+
+    def request(self, http: h11.Connection) -> bytes:
+        target = f"/v1/servers?since={self.generation}&timeout_ms={WAIT}"
+        headers = [("Host", f"{self.address[0]}:{self.address[1]}")]
+        data = http.send(h11.Request(method="GET", target=target, headers=headers)) or b""
+        return data + (http.send(h11.EndOfMessage()) or b"")
+
+    async def response(self, http: h11.Connection, reader: asyncio.StreamReader) -> tuple[int, bytes]:
+        status, text = 0, bytearray()
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await reader.read(READ))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                text += event.data
+                if len(text) > LIST_MOST:
+                    raise Unreadable("list too long")
+            elif isinstance(event, h11.EndOfMessage):
+                return status, bytes(text)
+            elif not isinstance(event, h11.InformationalResponse):
+                raise EOFError("closed")
--- /dev/null
+++ b/onyxpost/edge/messages.py
@@ -0,0 +1,286 @@
+"""The small typed values that pass between the sockets and the reducer, each decoded and encoded once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+from typing import Any, NamedTuple
+
+import h11
+import orjson
+
+from onyxpost.deployment import Deployment, Unreadable
+from onyxpost.interface import Effect, ListRow, Result, Standing
+
+BODY_MOST = 64 * 1024
+DATAGRAM_MOST = 256
+
+Headers = list[tuple[bytes, bytes]]
+
+# Those of one connection only, and those between a client and its edge node: neither is passed on.
+HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade"}
+KEPT_FROM_SERVERS = HOP | {b"content-length", b"expect", b"cookie", b"plan", b"quota-info", b"x-expires-in"}
+KEPT_FROM_CLIENTS = HOP | {b"content-length", b"x-never-ran", b"endpoint-load-metrics"}
+STANDINGS = {"up": Standing.READY, "draining": Standing.DRAINING, "removed": Standing.GONE}
+
+Address = tuple[str, int]
+
+
+class Asked(NamedTuple):
+    """A client's req, whole."""
+
+    client: int
+    at: float
+    trace: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    frontend: str
+    customer: str
+    plan: str
+    units: int
+    spread: int
+    first: int
+    patience: float
+
+
+class ClientLeft(NamedTuple):
+    client: int
+
+
+class Page(NamedTuple):
+    """What an app server answered with 200, to be passed on."""
+
+    headers: Headers
+    body: bytes
+
+
+class Ended(NamedTuple):
+    """The one end of a dispatch."""
+
+    dispatch: int
+    result: Result
+    waited: float
+    page: Page | None = None
+
+
+class Listed(NamedTuple):
+    """What discovery told: all servers, or those that changed."""
+
+    generation: int
+    complete: bool
+    rows: list[ListRow]
+    addresses: dict[str, Address]
+
+
+class ListFailed(NamedTuple):
+    pass
+
+
+class PeerTold(NamedTuple):
+    peer: int
+    body: str
+
+
+class Woken(NamedTuple):
+    token: int
+
+
+Incoming = Asked | ClientLeft | Ended | Listed | ListFailed | PeerTold | Woken
+
+
+class Send(NamedTuple):
+    dispatch: int
+    address: Address
+    asked: Asked
+    give_up_after: float
+
+
+class Close(NamedTuple):
+    """End a dispatch by closing its connection."""
+
+    dispatch: int
+
+
+class Kind(Enum):
+    PASSED = "passed"
+    DENIED = "denied"
+    ABORTED = "aborted"
+
+
+class Answer(NamedTuple):
+    client: int
+    kind: Kind
+    page: Page | None = None
+    retry_after: float = 0.0
+
+
+class Tell(NamedTuple):
+    peer: int
+    datagram: bytes
+
+
+class Wake(NamedTuple):
+    after: float
+    token: int
+
+
+class Watch(NamedTuple):
+    """Ask discovery for its changes."""
+
+
+class Log(NamedTuple):
+    event: str
+    fields: dict[str, Any]
+
+
+Outgoing = Send | Close | Answer | Tell | Wake | Watch | Log
+
+
+class Refusal(Exception):
+    """A req that cannot be taken: nothing of it is sent on."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+# From and to clients
+
+
+def asked(client: int, at: float, request: h11.Request, body: bytes, known: Deployment) -> Asked:
+    named: dict[bytes, bytes] = dict(request.headers)
+    target = request.target
+    path = target.split(b"?", 1)[0]
+    frontend = next((f for f in known.frontends if path.split(b"/", 2)[1:2] == [f.name.encode()]), None)
+    if frontend is None:
+        raise Refusal(404, "unknown frontend")
+    try:
+        trace = named[b"x-trace-id"].decode("ascii")
+        plan = named[b"plan"].decode("ascii")
+        customer = int(_cookie(named[b"cookie"], b"key"), 16)
+        quota = dict(_pair(part) for part in named[b"quota-info"].split(b","))
+        units, spread, first = (int(quota[name]) for name in (b"units", b"spread", b"first"))
+        patience = _span(named[b"x-expires-in"]) if b"x-expires-in" in named else frontend.client_timeout
+    except KeyError as err:
+        raise Refusal(400, f"missing {str(err)[:40]}") from err
+    except (ValueError, UnicodeDecodeError) as err:
+        raise Refusal(400, f"malformed header: {str(err)[:60]}") from err
+    if not trace or not 0 <= customer < 2**64 or not patience > 0.0:
+        raise Refusal(400, "malformed header")
+    if units < 1 or not 1 <= spread <= known.nodes or not 0 <= first < known.nodes:
+        raise Refusal(400, "malformed quota-info")
+    if not any(p.name == plan for p in known.plans):
+        raise Refusal(400, "unknown plan")
+    if frontend.effect is Effect.UNIQUED and not named.get(b"idempotency-key"):
+        raise Refusal(400, "missing idempotency-key")
+    return Asked(
+        client, at, trace, request.method, target, list(request.headers), body, frontend.name,
+        f"{customer:x}", plan, units, spread, first, min(patience, frontend.client_timeout),
+    )  # fmt: skip
+
+
+def _cookie(text: bytes, name: bytes) -> bytes:
+    return dict(_pair(part) for part in text.split(b";") if b"=" in part)[name]
+
+
+def _pair(part: bytes) -> tuple[bytes, bytes]:
+    name, _, value = part.partition(b"=")
+    return name.strip(), value.strip()
+
+
+def _span(text: bytes) -> float:
+    """A number and its unit, in ms."""
+    amount, unit = float(text[:-1]), text[-1:]
+    if unit not in (b"m", b"u") or not 0.0 <= amount < 1e12:
+        raise ValueError("x-expires-in")
+    return amount if unit == b"m" else amount / 1000.0
+
+
+def answer(done: Answer, leaving: bool) -> tuple[int, Headers, bytes]:
+    headers: Headers = [(b"Connection", b"close")] if leaving else []
+    if done.kind is Kind.PASSED and done.page is not None:
+        headers += [h for h in done.page.headers if h[0] not in KEPT_FROM_CLIENTS]
+        return 200, [*headers, (b"Content-Length", b"%d" % len(done.page.body))], done.page.body
+    headers.append((b"Content-Length", b"0"))
+    if done.kind is Kind.DENIED:
+        if done.retry_after > 0.0:
+            headers.append((b"Retry-After", b"%.3f" % (done.retry_after / 1000.0)))
+        return 429, headers, b""
+    return 502, headers, b""
+
+
+# To and from app servers
+
+
+def request(send: Send) -> tuple[h11.Request, bytes]:
+    a = send.asked
+    headers = [h for h in a.headers if h[0] not in KEPT_FROM_SERVERS]
+    headers.append((b"X-Expires-In", b"%du" % max(1, round(send.give_up_after * 1000.0))))
+    if a.body or a.method != b"GET":
+        headers.append((b"Content-Length", b"%d" % len(a.body)))
+    return h11.Request(method=a.method, target=a.target, headers=headers), a.body
+
+
+def result(response: h11.Response) -> Result:
+    """How a dispatch whose answer came whole has ended."""
+    if response.status_code == 200:
+        return Result.OK
+    if response.status_code in (503, 504) and (b"x-never-ran", b"1") in list(response.headers):
+        return Result.FULL
+    return Result.ERROR
+
+
+# From discovery
+
+
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def listed(data: Any) -> Listed:
+    """`data`: a list as discovery sends it, or its text."""
+    try:
+        fields = orjson.loads(data) if isinstance(data, bytes) else data
+        rows: list[dict[str, Any]] = fields["instances"]
+        return Listed(
+            int(fields["generation"]),
+            bool(fields.get("reset", False)),
+            [_row(row) for row in rows],
+            {row["instanceId"]: address(row["hostPort"]) for row in rows if row.get("hostPort")},
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as err:
+        raise Unreadable(f"list of servers: {type(err).__name__}: {err}") from err
+
+
+def _row(row: dict[str, Any]) -> ListRow:
+    return ListRow(
+        row["instanceId"],
+        row.get("zone", ""),
+        row.get("cell", 0),
+        STANDINGS[row["lifecycle"]],
+        row.get("weight", 1.0),
+        float(row.get("startedAtMs", 0)),
+    )
+
+
+# To and from peers
+
+
+def datagram(body: str) -> bytes:
+    data = body.encode("ascii")
+    if len(data) > DATAGRAM_MOST:
+        raise ValueError(f"datagram of {len(data)} bytes")
+    return data
+
+
+def peer_told(data: bytes, source: Address, peers: Iterable[Address], own: int) -> PeerTold | None:
+    """None for strangers and garbage."""
+    number = next((i for i, peer in enumerate(peers) if peer == source and i != own), None)
+    if number is None or not 0 < len(data) <= DATAGRAM_MOST or not data.isascii():
+        return None
+    return PeerTold(number, data.decode("ascii"))
--- /dev/null
+++ b/onyxpost/edge/peers.py
@@ -0,0 +1,38 @@
+"""Datagrams to and from the other edge nodes. I/O only."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from onyxpost.edge import messages as m
+
+
+class Peers(asyncio.DatagramProtocol):
+    def __init__(self, peers: list[m.Address], own: int, post: Callable[[m.Incoming], None]) -> None:
+        self.peers, self.own, self.post = peers, own, post
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def listen(self, address: m.Address) -> None:
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, source: tuple[str | Any, int]) -> None:
+        told = m.peer_told(data, source, self.peers, self.own)
+        if told is not None:
+            self.post(told)
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer that is down; its counts will be told again."""
+
+    def tell(self, tell: m.Tell) -> None:
+        if self.transport is not None and 0 <= tell.peer < len(self.peers):
+            self.transport.sendto(tell.datagram, self.peers[tell.peer])
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/onyxpost/edge/program.py
@@ -0,0 +1,164 @@
+"""One edge node from its start to its exit: its phases, its rounds, and the carrying out of effects."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import time
+from enum import Enum
+from typing import Any
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.clients import Clients
+from onyxpost.edge.discovery import Discovery
+from onyxpost.edge.log import Lines
+from onyxpost.edge.node import Node
+from onyxpost.edge.peers import Peers
+from onyxpost.edge.reducer import Reducer
+from onyxpost.edge.servers import Servers
+
+SWEEP = 1.0  # s between looks for idle connections
+ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
+LINGER = 500.0  # ms for last answers to be written
+SPARE = 32  # descriptors for files, the listener, discovery, peers and what is just being accepted
+
+
+class Phase(Enum):
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"  # SIGTERM came: answer all, accept a little longer
+    CLOSING = "closing"  # accept no more, answer what is held
+    STOPPED = "stopped"
+
+
+class Program:
+    def __init__(self, node: Node, lines: Lines) -> None:
+        self.node, self.lines = node, lines
+        self.phase = Phase.STARTING
+        self.begun = time.time() * 1000.0 - time.monotonic() * 1000.0
+        self.inbox: list[m.Incoming] = []
+        self.round_due = False
+        deployment = node.deployment
+        self.reducer = Reducer(deployment, deployment.gateway(self.now(), node.seed))
+        self.clients = Clients(deployment, self.now, self.post, self.ready, self.client_room, self.fault)
+        self.servers = Servers(
+            self.now, self.post, self.server_room, self.fault,
+            deployment.connect_timeout, deployment.keep_alive,
+        )  # fmt: skip
+        self.discovery = Discovery(node.discovery, node.known.generation, self.post, self.log)
+        self.peers = Peers(node.peers, deployment.number, self.post)
+        self.watching: asyncio.Task[None] | None = None
+        self.carry = {
+            m.Send: self.servers.send,
+            m.Close: lambda effect: self.servers.close(effect.dispatch),
+            m.Answer: self.clients.answer,
+            m.Tell: self.peers.tell,
+            m.Wake: self.wake,
+            m.Watch: lambda effect: self.watch(),
+            m.Log: self.log,
+        }
+
+    def now(self) -> float:
+        """Unix ms at the start, carried on by the monotonic clock: that of `startedAtMs` too."""
+        return self.begun + time.monotonic() * 1000.0
+
+    # Phases
+
+    def enter(self, phase: Phase) -> None:
+        self.phase = phase
+        self.log(m.Log("phase", {"phase": phase.value, "owed": self.reducer.owed}))
+
+    async def run(self) -> int:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self.loop_fault)
+        told_to_stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, told_to_stop.set)
+        if self.node.peer_listen is not None:
+            await self.peers.listen(self.node.peer_listen)
+        self.post(self.node.known)
+        self.round()
+        if not self.node.deployment.must_ask:
+            self.watch()
+        await self.clients.listen(self.node.listen)
+        self.sweep()
+        gc.collect()
+        gc.freeze()
+        self.enter(Phase.SERVING)
+        await told_to_stop.wait()
+        self.enter(Phase.LEAVING)
+        self.clients.leaving = True
+        self.clients.close_idle()
+        await asyncio.sleep(ACCEPT_ON)
+        self.enter(Phase.CLOSING)
+        self.clients.stop_listening()
+        while self.reducer.owed or any(c.begun for c in self.clients.open.values()):
+            await asyncio.sleep(0.01)
+        await self.clients.finish(LINGER)
+        self.servers.finish()
+        self.peers.close()
+        if self.watching is not None:
+            self.watching.cancel()
+        self.enter(Phase.STOPPED)
+        return 0
+
+    def ready(self) -> bool:
+        return self.phase is Phase.SERVING
+
+    # Rounds
+
+    def post(self, value: m.Incoming) -> None:
+        """All that comes in by the next turn of the loop is one round's."""
+        self.inbox.append(value)
+        if not self.round_due:
+            self.round_due = True
+            asyncio.get_running_loop().call_soon(self.round)
+
+    def round(self) -> None:
+        values, self.inbox, self.round_due = self.inbox, [], False
+        for effect in self.reducer.step(self.now(), values):
+            try:
+                self.carry[type(effect)](effect)
+            except Exception as err:
+                self.fault(f"carrying out {type(effect).__name__}", err)
+        if self.reducer.later and not self.round_due:
+            self.round_due = True
+            asyncio.get_running_loop().call_soon(self.round)
+
+    def wake(self, wake: m.Wake) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(wake.after / 1000.0, self.post, m.Woken(wake.token))
+
+    def watch(self) -> None:
+        if self.watching is None:
+            self.watching = asyncio.get_running_loop().create_task(self.discovery.watch())
+
+    # Descriptors
+
+    def held_open(self) -> int:
+        return len(self.clients.open) + self.servers.links + SPARE
+
+    def client_room(self) -> bool:
+        """Is there room for one client more? Idle server connections go first, then idle clients."""
+        full = self.held_open() >= self.node.descriptors
+        return not full or self.servers.make_room() or self.clients.close_idle(1) > 0
+
+    def server_room(self) -> bool:
+        return self.held_open() < self.node.descriptors or self.servers.make_room()
+
+    def sweep(self) -> None:
+        self.servers.sweep()
+        self.clients.sweep()
+        asyncio.get_running_loop().call_later(SWEEP, self.sweep)
+
+    # The log
+
+    def log(self, log: m.Log) -> None:
+        self.lines.write(self.now(), log.event, log.fields)
+
+    def fault(self, where: str, err: BaseException | None) -> None:
+        self.log(m.Log("fault", {"at": where, "cause": f"{type(err).__name__}: {err}"}))
+
+    def loop_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        self.fault(str(context.get("message")), context.get("exception"))
--- /dev/null
+++ b/onyxpost/edge/reducer.py
@@ -0,0 +1,191 @@
+"""All state changes of an edge node. No I/O and no clock: values and the time come in, effects go out."""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Iterator, Sequence
+
+from onyxpost.deployment import Deployment
+from onyxpost.edge import messages as m
+from onyxpost.interface import Decider, Result
+
+
+class Held:
+    """A client's req that is owed its one final answer, or whose dispatches are still out."""
+
+    __slots__ = ("answered", "asked", "dispatches", "id", "leaves", "out")
+
+    def __init__(self, rid: str, asked: m.Asked, leaves: float) -> None:
+        self.id, self.asked, self.leaves = rid, asked, leaves
+        self.answered = False
+        self.dispatches: list[int] = []
+        self.out = 0
+
+
+class Reducer:
+    """The module's host on sockets, and its writer."""
+
+    def __init__(self, deployment: Deployment, decider: Decider) -> None:
+        self.decider = decider
+        self.slack = deployment.tick  # an answer is on its way before the client's time is up
+        self.now = 0.0
+        self.reqs = self.sent = 0
+        self.held: dict[str, Held] = {}
+        self.clients: dict[int, Held] = {}  # by connection, while an answer is owed
+        self.traces: dict[str, Held] = {}  # while an answer is owed or a dispatch is out
+        self.dispatches: dict[int, tuple[Held, int]] = {}  # those out
+        self.later: list[tuple[object, ...]] = []  # what the decider is told in the next round
+        self.addresses: dict[str, m.Address] = {}
+        self.listed = False
+        self.effects: list[m.Outgoing] = []
+
+    @property
+    def owed(self) -> int:
+        return len(self.clients)
+
+    def step(self, now: float, values: Sequence[m.Incoming]) -> list[m.Outgoing]:
+        """One round with all that came in."""
+        self.now, self.effects = now, []
+        news, self.later = self.later, []
+        news += [item for value in values if (item := self.take(value)) is not None]
+        rest = iter(news)
+        while not self.played(rest):
+            pass
+        if any(isinstance(value, m.Woken) for value in values):
+            self.overdue()
+        return self.effects
+
+    def played(self, rest: Iterator[tuple[object, ...]]) -> bool:
+        """Give the decider what is left; what it failed at is told, and the others still get their turn."""
+        current: tuple[object, ...] = ()
+
+        def one_by_one() -> Iterator[tuple[object, ...]]:
+            nonlocal current
+            for item in rest:
+                current = item
+                yield item
+
+        try:
+            self.decider.round(self.now, one_by_one(), self)
+        except Exception as err:
+            cause = "".join(traceback.format_exception(err))
+            self.effects.append(m.Log("fault", {"at": str(current[:1]), "cause": cause[-4000:]}))
+            of_a_req = current[:1] in (("arrived",), ("dispatch_ended",))
+            held = self.held.get(str(current[1])) if of_a_req else None
+            if held is not None and not held.out:
+                self.end(held)  # nothing else would
+            return False
+        return True
+
+    def overdue(self) -> None:
+        """A last resort: nothing is held past its client's time, whatever became of its decision."""
+        for held in [h for h in self.clients.values() if self.now >= h.leaves + self.slack]:
+            self.effects.append(m.Log("overdue", {"req": held.asked.trace}))
+            self.end(held)
+
+    def end(self, held: Held) -> None:
+        """Abort what the decider has lost sight of."""
+        for number in range(len(held.dispatches)):
+            self.cancel(held.id, number)
+        self.answer(held, m.Answer(held.asked.client, m.Kind.ABORTED))
+        self.later.append(("client_left", held.id))
+
+    # What comes in, for the decider
+
+    def take(self, value: m.Incoming) -> tuple[object, ...] | None:
+        match value:
+            case m.Asked():
+                return self.asked(value)
+            case m.Ended():
+                return self.ended(value)
+            case m.Woken(token):
+                return ("woken", token)
+            case m.PeerTold(peer, body):
+                return ("told", peer, body)
+            case m.ClientLeft(client):
+                held = self.clients.pop(client, None)
+                if held is None:
+                    return None
+                held.answered = True
+                self.forget(held)
+                return ("client_left", held.id)
+            case m.Listed():
+                self.listed = True
+                self.addresses.update(value.addresses)
+                return ("listed", value.complete, value.rows)
+            case m.ListFailed():
+                return ("list_failed",)
+
+    def asked(self, a: m.Asked) -> tuple[object, ...] | None:
+        if a.trace in self.traces or a.client in self.clients:
+            # A second copy of one id would be dispatched beside the first; nothing was sent for this one.
+            self.effects.append(m.Answer(a.client, m.Kind.ABORTED))
+            return None
+        self.reqs += 1
+        leaves = a.at + a.patience - self.slack
+        held = Held(str(self.reqs), a, leaves)
+        self.held[held.id] = self.clients[a.client] = self.traces[a.trace] = held
+        return ("arrived", held.id, leaves, a.frontend, a.customer, a.plan, a.units, a.spread, a.first)
+
+    def ended(self, end: m.Ended) -> tuple[object, ...] | None:
+        held, number = self.dispatches.pop(end.dispatch, (None, 0))
+        if held is None:
+            return None
+        held.out -= 1
+        settled = held.answered
+        if end.result is Result.OK and not settled:
+            settled = True
+            self.answer(held, m.Answer(held.asked.client, m.Kind.PASSED, end.page))
+        self.forget(held)
+        return ("dispatch_ended", held.id, number, end.result, end.waited, settled, 0)
+
+    def answer(self, held: Held, answer: m.Answer) -> None:
+        if not held.answered:
+            held.answered = True
+            self.clients.pop(held.asked.client, None)
+            self.effects.append(answer)
+            self.forget(held)
+
+    def forget(self, held: Held) -> None:
+        if held.answered and not held.out:
+            self.held.pop(held.id, None)
+            self.traces.pop(held.asked.trace, None)
+
+    # The decider's writer
+
+    def dispatch(self, req: str, server: str, give_up_after: float) -> None:
+        self.sent += 1
+        held = self.held[req]
+        self.dispatches[self.sent] = held, len(held.dispatches)
+        held.dispatches.append(self.sent)
+        held.out += 1
+        until = min(give_up_after, held.leaves - self.now)
+        if held.answered or until <= 0.0:
+            self.later.append(self.ended(m.Ended(self.sent, Result.UNUSED, 0.0)) or ())
+            return
+        self.effects.append(m.Send(self.sent, self.addresses[server], held.asked, until))
+
+    def deny(self, req: str, retry_after: float) -> None:
+        if held := self.held.get(req):
+            self.answer(held, m.Answer(held.asked.client, m.Kind.DENIED, None, retry_after))
+
+    def abort(self, req: str) -> None:
+        if held := self.held.get(req):
+            self.answer(held, m.Answer(held.asked.client, m.Kind.ABORTED))
+
+    def cancel(self, req: str, number: int) -> None:
+        held = self.held.get(req)
+        if held is not None and number < len(held.dispatches) and held.dispatches[number] in self.dispatches:
+            self.effects.append(m.Close(held.dispatches[number]))
+
+    def tell(self, peer: int, body: str) -> None:
+        self.effects.append(m.Tell(peer, m.datagram(body)))
+
+    def wake(self, after: float, token: int) -> None:
+        self.effects.append(m.Wake(after, token))
+
+    def log(self, line: str) -> None:
+        self.effects.append(m.Log("mode", {"line": line}))
+
+    def subscribe(self) -> None:
+        self.effects.append(m.Watch())
--- /dev/null
+++ b/onyxpost/edge/servers.py
@@ -0,0 +1,176 @@
+"""Connections to the app servers: each dispatch is written once, and has one end. I/O only."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from onyxpost.edge import messages as m
+from onyxpost.interface import Result
+
+KEPT = 0.75  # share of the servers' keep-alive after which an idle connection is retired
+READ = 65536
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Link:
+    """One connection to an app server; one dispatch at a time."""
+
+    def __init__(self, address: m.Address, streams: Streams) -> None:
+        self.address, (self.reader, self.writer) = address, streams
+        self.http = h11.Connection(h11.CLIENT)
+        self.written = False
+        self.since = 0.0
+        self.writer.transport.set_write_buffer_limits(0)  # so that drained means written
+
+    def dead(self) -> bool:
+        transport = self.writer.transport
+        return self.reader.at_eof() or self.reader.exception() is not None or transport.is_closing()
+
+    async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
+        self.written = False
+        data = self.http.send(request) or b""
+        if body:
+            data += self.http.send(h11.Data(data=body)) or b""
+        self.writer.write(data + (self.http.send(h11.EndOfMessage()) or b""))
+        await self.writer.drain()
+        self.written = True
+        response, page = await self.response()
+        result = m.result(response)
+        return result, m.Page(list(response.headers), page) if result is Result.OK else None
+
+    async def response(self) -> tuple[h11.Response, bytes]:
+        response: h11.Response | None = None
+        page = bytearray()
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.reader.read(READ)
+                if not data and self.http.their_state is h11.SEND_BODY and not self.framed(response):
+                    raise ConnectionResetError("cut, or of no stated length")
+                self.http.receive_data(data)
+            elif isinstance(event, h11.Response):
+                response = event
+            elif isinstance(event, h11.Data):
+                page += event.data
+                if len(page) > m.BODY_MOST:
+                    raise h11.RemoteProtocolError("body over 64 KiB")
+            elif isinstance(event, h11.EndOfMessage) and response is not None:
+                return response, bytes(page)
+            elif not isinstance(event, h11.InformationalResponse):
+                raise ConnectionResetError("closed")
+
+    def framed(self, response: h11.Response | None) -> bool:
+        names = {name for name, _ in response.headers} if response is not None else set()
+        return b"content-length" in names or b"transfer-encoding" in names
+
+    def reusable(self) -> bool:
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE or self.dead():
+            return False
+        self.http.start_next_cycle()
+        return not self.http.trailing_data[0]
+
+
+class Servers:
+    def __init__(
+        self, clock: Callable[[], float], post: Callable[[m.Incoming], None], room: Callable[[], bool],
+        fault: Callable[[str, BaseException], None], connect_timeout: float, keep_alive: float,
+    ) -> None:  # fmt: skip
+        self.clock, self.post, self.room, self.fault = clock, post, room, fault
+        self.connect_timeout, self.kept = connect_timeout, KEPT * keep_alive
+        self.idle: dict[m.Address, list[Link]] = {}
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+        self.links = 0  # open, idle ones too
+
+    def send(self, send: m.Send) -> None:
+        self.tasks[send.dispatch] = asyncio.get_running_loop().create_task(self.run(send, self.clock()))
+
+    def close(self, dispatch: int) -> None:
+        if task := self.tasks.get(dispatch):
+            task.cancel()
+
+    async def run(self, send: m.Send, began: float) -> None:
+        link: Link | None = None
+        result, page = Result.NO_CONNECTION, None
+        try:
+            async with asyncio.timeout(send.give_up_after / 1000.0):
+                link = self.pooled(send.address) or await self.connect(send.address)
+                result, page = await link.ask(*m.request(send))
+        except TimeoutError:
+            result = Result.EXPIRED if link is not None and link.written else Result.NO_CONNECTION
+        except asyncio.CancelledError:
+            result = Result.CANCELLED
+        except Exception as err:
+            if not isinstance(err, OSError | EOFError | h11.RemoteProtocolError):
+                self.fault("server", err)
+            result = Result.LOST if link is not None and link.written else Result.NO_CONNECTION
+        finally:
+            self.tasks.pop(send.dispatch, None)
+            if link is not None:
+                self.done_with(link, page is not None or result in (Result.ERROR, Result.FULL))
+            self.post(m.Ended(send.dispatch, result, self.clock() - began, page))
+
+    async def connect(self, address: m.Address) -> Link:
+        if not self.room():
+            raise OSError("no descriptor left")
+        self.links += 1
+        try:
+            async with asyncio.timeout(self.connect_timeout / 1000.0 if self.connect_timeout else None):
+                streams = await asyncio.open_connection(*address, limit=READ)
+        except BaseException as err:
+            self.links -= 1
+            if isinstance(err, TimeoutError):
+                raise OSError("never came up") from err
+            raise
+        return Link(address, streams)
+
+    def pooled(self, address: m.Address) -> Link | None:
+        """The one last used: the others may then be retired."""
+        links = self.idle.get(address, [])
+        while links:
+            link = links.pop()
+            if not link.dead() and self.clock() - link.since < self.kept:
+                return link
+            self.shut(link)
+        return None
+
+    def done_with(self, link: Link, whole: bool) -> None:
+        if whole and link.reusable():
+            link.since = self.clock()
+            self.idle.setdefault(link.address, []).append(link)
+        else:
+            self.shut(link)
+
+    def shut(self, link: Link) -> None:
+        self.links -= 1
+        link.writer.transport.abort()  # nothing is left to be written; a silent machine would never take it
+
+    def sweep(self) -> None:
+        """Retire those idle for long or closed by the server."""
+        now = self.clock()
+        for address, links in list(self.idle.items()):
+            kept = [link for link in links if not link.dead() and now - link.since < self.kept]
+            for link in links:
+                if link not in kept:
+                    self.shut(link)
+            self.idle[address] = kept
+            if not kept:
+                del self.idle[address]
+
+    def make_room(self) -> bool:
+        """Shut the connection that has been idle for longest."""
+        oldest = min((links[0] for links in self.idle.values() if links), key=lambda k: k.since, default=None)
+        if oldest is None:
+            return False
+        self.idle[oldest.address].remove(oldest)
+        self.shut(oldest)
+        return True
+
+    def finish(self) -> None:
+        for task in list(self.tasks.values()):
+            task.cancel()
+        while self.make_room():
+            pass
--- a/onyxpost/simhost/decode.py
+++ b/onyxpost/simhost/decode.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
-from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, ListRow, Plan, Result, Standing
+from onyxpost import deployment
+from onyxpost.deployment import Fields, Unreadable
+from onyxpost.interface import ListRow, Result, Standing
 from onyxpost.logic import Gateway
 
-Fields = dict[str, Any]
-
 RESULTS = {
     "delivered": Result.OK,
     "app_error": Result.ERROR,
@@ -20,76 +19,14 @@
     "revoked": Result.CANCELLED,
     "unused": Result.UNUSED,
 }
-EFFECTS = {"retryable": Effect.REPLAYABLE, "dedup": Effect.UNIQUED, "fragile": Effect.NON_REPLAYABLE}
-GROUPS = {"all": Group.ALL, "zone": Group.HALL, "cell": Group.CELL}
 STANDINGS = {1: Standing.READY, 2: Standing.DRAINING, 0: Standing.GONE}
 
 
-class Unreadable(Exception):
-    """A message without a field that it must have, or with a value that the wire does not know."""
-
-
 def gateway(now: float, fields: Fields) -> Gateway:
     try:
-        return _gateway(now, fields)
-    except (KeyError, TypeError, ValueError, AttributeError) as err:
-        raise Unreadable(f"Attach: {type(err).__name__}: {err}") from err
-
-
-def _gateway(now: float, fields: Fields) -> Gateway:
-    params = fields["params"]
-    bounds, family, rules = params["bounds"], params.get("family_info", {}), params["rules"]
-    return Gateway(
-        now,
-        seed=fields["init_seed"],
-        number=params["ordinal"],
-        nodes=params["n_instances"],
-        tick=params.get("quantum_us", 0) / 1000.0,
-        frontends=[_frontend(grade) for grade in params["grades"]],
-        plans=[_plan(package) for package in params.get("packages", [])],
-        cold_rule=ColdRule(
-            rules.get("start_capacity", 1.0),
-            rules.get("cold_us", 0) / 1000.0,
-            rules.get("fall_multiple", 1.0),
-            rules.get("fall_us", 0) / 1000.0,
-        ),
-        allowed=Allowed(
-            bounds.get("try_limit", 1),
-            bounds.get("parallel_tries", False),
-            bounds.get("cancelling", False),
-            bounds.get("peers", False),
-            bounds.get("max_retry_after_us", 0) / 1000.0 if bounds.get("retry_after", False) else 0.0,
-            family.get("mail_per_s", 0.0),
-        ),
-        must_ask=params.get("discovery") == "on_request",
-    )
-
-
-def _frontend(grade: Fields) -> Frontend:
-    return Frontend(
-        grade["name"],
-        grade["aim_us"] / 1000.0,
-        grade["deadline_us"] / 1000.0,
-        EFFECTS[grade.get("effect", "fragile")],
-        GROUPS[grade.get("group", "cell")],
-        grade.get("dedup_window_us", 0) / 1000.0,
-        grade.get("worth", 1.0),
-        grade.get("late_value", 0.0),
-        grade.get("aim_stretch", 0.0) or 0.0,
-        grade.get("streamed", False),
-    )
-
-
-def _plan(package: Fields) -> Plan:
-    return Plan(
-        package["name"],
-        package.get("refill", 0.0),
-        package.get("depth", 0.0),
-        package.get("open", 0),
-        package.get("worth_factor", 1.0),
-        package.get("cap_rate", 0.0),
-        package.get("ceiling_burst", 0.0),
-    )
+        return deployment.decode(fields["params"]).gateway(now, fields["init_seed"])
+    except KeyError as err:
+        raise Unreadable(f"Attach: KeyError: {err}") from err
 
 
 def _row(row: Fields) -> ListRow:
--- a/onyxpost/simhost/host.py
+++ b/onyxpost/simhost/host.py
@@ -5,6 +5,7 @@
 import traceback
 from typing import Any
 
+from onyxpost.deployment import Unreadable
 from onyxpost.logic import Gateway
 from onyxpost.simhost import decode
 from onyxpost.simhost.encode import Actions
@@ -32,7 +33,7 @@
             actions = Actions(node, output)
             try:
                 self._play(node, now, events, actions)
-            except decode.Unreadable as err:
+            except Unreadable as err:
                 raise WireError(str(err)) from err
             except Exception as err:
                 where = traceback.extract_tb(err.__traceback__)[-1]
