Peers speak on sockets: the datagram transport is taken as asyncio gives it

Seen: every node logged an AssertionError in Peers.connection_made at its start, and no datagram ever left. asyncio's own datagram transport is no subclass of asyncio.DatagramTransport as far as isinstance goes, so the check there failed and the transport was never kept. Ruled out: the address (bound), the addresses of peers (read in order). At fault: the assertion in onyxpost/edge/peers.py. Faults now carry their whole traceback in the log, as this one had none.

--- a/onyxpost/edge/peers.py
+++ b/onyxpost/edge/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 from onyxpost.edge import messages as m
 
@@ -18,8 +18,7 @@
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self.transport = transport
+        self.transport = cast(asyncio.DatagramTransport, transport)  # asyncio's own is none by inheritance
 
     def datagram_received(self, data: bytes, source: tuple[str | Any, int]) -> None:
         told = m.peer_told(data, source, self.peers, self.own)
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -6,6 +6,7 @@
 import gc
 import signal
 import time
+import traceback
 from enum import Enum
 from typing import Any
 
@@ -158,7 +159,8 @@
         self.lines.write(self.now(), log.event, log.fields)
 
     def fault(self, where: str, err: BaseException | None) -> None:
-        self.log(m.Log("fault", {"at": where, "cause": f"{type(err).__name__}: {err}"}))
+        cause = "".join(traceback.format_exception(err)) if err is not None else ""
+        self.log(m.Log("fault", {"at": where, "cause": cause[-4000:]}))
 
     def loop_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         self.fault(str(context.get("message")), context.get("exception"))
