Edge node: ends that were never told, stray bytes, and room for descriptors

Found by reading the code against the protocol, each shown by a test that fails without its fix: - a dispatch closed before its task's first step told no end, so its server counted it as out for good (Servers.close); - bytes that came on an idle connection unasked would have answered the next req (Link.dead, Link.reusable); - a req behind a refused one on the same connection was left standing (Clients.take); - a connection whose client takes no more held its descriptor until the kernel gave up (Clients.end); - a req's time ran from its last byte, not from its first, and X-Expires-In to a server left out the time that connecting took.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
 import h11
@@ -12,6 +11,7 @@
 from onyxpost.edge import messages as m
 
 IDLE = 75_000.0  # ms that a connection may stand between reqs
+LINGER = 2_000.0  # ms for the last answer to be taken before the connection is cut
 SLOW = 15_000.0  # ms in which a req that has begun must be whole
 READ = 65536
 
@@ -62,11 +62,12 @@
                 return
             while not writer.transport.is_closing():
                 data = await reader.read(READ)
+                if data and client.idle():
+                    client.begun, client.since = True, self.clock()
                 if client.waits and len(client.http.trailing_data[0]) + len(data) > 2 * READ:
                     return
                 client.http.receive_data(data)
                 if not client.waits:
-                    client.begun = client.begun or bool(data)
                     self.take(client)
                 if not data:
                     return
@@ -75,39 +76,51 @@
         except Exception as err:
             self.fault("client", err)
         finally:
-            self.gone(client)
+            if client.waits:
+                client.waits = False
+                self.post(m.ClientLeft(client.number))
+            await self.end(client)
 
-    def gone(self, client: Client) -> None:
-        self.open.pop(client.number, None)
+    async def end(self, client: Client) -> None:
+        """Close; an answer that nobody takes must not hold the descriptor for long."""
         client.writer.close()
-        if client.waits:
-            client.waits = False
-            self.post(m.ClientLeft(client.number))
+        try:
+            async with asyncio.timeout(LINGER / 1000.0):
+                await client.writer.wait_closed()
+        except OSError:
+            client.writer.transport.abort()
+        finally:
+            self.open.pop(client.number, None)
 
     def take(self, client: Client) -> None:
         """What has come in, as far as it goes."""
-        http = client.http
         try:
-            while not client.waits and (event := http.next_event()) is not h11.NEED_DATA:
-                match event:
-                    case h11.Request():
-                        client.request, client.body = event, bytearray()
-                        client.begun = True
-                    case h11.Data(data=data):
-                        client.body += data
-                        if len(client.body) > m.BODY_MOST:
-                            raise m.Refusal(413, "body over 64 KiB")
-                    case h11.EndOfMessage():
-                        self.whole(client)
-                    case _:
-                        return
-            if http.they_are_waiting_for_100_continue:
-                data = http.send(h11.InformationalResponse(status_code=100, headers=[]))
-                client.writer.write(data or b"")
+            self.events(client, client.http)
         except h11.RemoteProtocolError as err:
             self.reply(client, max(400, err.error_status_hint), [], str(err).encode()[:200], close=True)
         except m.Refusal as err:
-            self.reply(client, err.status, [], str(err).encode(), close=http.their_state is not h11.DONE)
+            cut = client.http.their_state is not h11.DONE
+            self.reply(client, err.status, [], str(err).encode(), close=cut)
+            if not client.writer.transport.is_closing():
+                self.take(client)
+
+    def events(self, client: Client, http: h11.Connection) -> None:
+        while not client.waits and (event := http.next_event()) is not h11.NEED_DATA:
+            match event:
+                case h11.Request():
+                    client.request, client.body = event, bytearray()
+                    client.begun = True
+                case h11.Data(data=data):
+                    client.body += data
+                    if len(client.body) > m.BODY_MOST:
+                        raise m.Refusal(413, "body over 64 KiB")
+                case h11.EndOfMessage():
+                    self.whole(client)
+                case _:
+                    return
+        if http.they_are_waiting_for_100_continue:
+            data = http.send(h11.InformationalResponse(status_code=100, headers=[]))
+            client.writer.write(data or b"")
 
     def whole(self, client: Client) -> None:
         request = client.request
@@ -116,7 +129,8 @@
         if request.target == b"/healthz" and request.method in (b"GET", b"HEAD"):
             self.reply(client, 200 if self.ready() else 503, [], b"")
             return
-        asked = m.asked(client.number, self.clock(), request, bytes(client.body), self.deployment)
+        # Its time has run since it was sent, which is before its first byte came.
+        asked = m.asked(client.number, client.since, request, bytes(client.body), self.deployment)
         client.waits = True
         self.post(asked)
 
@@ -125,7 +139,11 @@
         if client is None or not client.waits:
             return
         client.waits = False
-        self.reply(client, *m.answer(answer, self.leaving))
+        try:
+            self.reply(client, *m.answer(answer, self.leaving))
+        except h11.LocalProtocolError:  # an answer that cannot be put in words: the client must not wait on
+            client.writer.close()
+            raise
         if not client.writer.transport.is_closing():
             self.take(client)  # what it sent meanwhile
 
@@ -165,16 +183,9 @@
             if not client.waits and now - client.since > (SLOW if client.begun else IDLE):
                 client.writer.transport.abort()
 
-    async def finish(self, wait: float) -> None:
-        """Close all; what is still to be written gets this long, in ms."""
-        clients = list(self.open.values())
-        for client in clients:
+    async def finish(self) -> None:
+        """Close all, once what is still to be written has gone out."""
+        for client in self.open.values():
             client.writer.close()
-        if clients:
-            waits = [asyncio.ensure_future(client.writer.wait_closed()) for client in clients]
-            _, late = await asyncio.wait(waits, timeout=wait / 1000.0)
-            for wait_closed in late:
-                wait_closed.cancel()
-        if self.server is not None:
-            with contextlib.suppress(OSError):
-                self.server.close()
+        while self.open:
+            await asyncio.sleep(0.01)
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -150,7 +150,8 @@
 
 
 def asked(client: int, at: float, request: h11.Request, body: bytes, known: Deployment) -> Asked:
-    named: dict[bytes, bytes] = dict(request.headers)
+    headers: Headers = list(request.headers)
+    named = dict(headers)
     target = request.target
     path = target.split(b"?", 1)[0]
     frontend = next((f for f in known.frontends if path.split(b"/", 2)[1:2] == [f.name.encode()]), None)
@@ -169,14 +170,14 @@
         raise Refusal(400, f"malformed header: {str(err)[:60]}") from err
     if not trace or not 0 <= customer < 2**64 or not patience > 0.0:
         raise Refusal(400, "malformed header")
-    if units < 1 or not 1 <= spread <= known.nodes or not 0 <= first < known.nodes:
+    if units < 0 or spread < 1 or first < 0:
         raise Refusal(400, "malformed quota-info")
     if not any(p.name == plan for p in known.plans):
         raise Refusal(400, "unknown plan")
     if frontend.effect is Effect.UNIQUED and not named.get(b"idempotency-key"):
         raise Refusal(400, "missing idempotency-key")
     return Asked(
-        client, at, trace, request.method, target, list(request.headers), body, frontend.name,
+        client, at, trace, request.method, target, headers, body, frontend.name,
         f"{customer:x}", plan, units, spread, first, min(patience, frontend.client_timeout),
     )  # fmt: skip
 
@@ -214,10 +215,9 @@
 # To and from app servers
 
 
-def request(send: Send) -> tuple[h11.Request, bytes]:
-    a = send.asked
+def request(a: Asked, left: float) -> tuple[h11.Request, bytes]:
     headers = [h for h in a.headers if h[0] not in KEPT_FROM_SERVERS]
-    headers.append((b"X-Expires-In", b"%du" % max(1, round(send.give_up_after * 1000.0))))
+    headers.append((b"X-Expires-In", b"%du" % max(1, round(left * 1000.0))))
     if a.body or a.method != b"GET":
         headers.append((b"Content-Length", b"%d" % len(a.body)))
     return h11.Request(method=a.method, target=a.target, headers=headers), a.body
@@ -237,7 +237,7 @@
 
 def address(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
+    if not host or not 0 <= int(port) < 65536:
         raise ValueError(f"no address: {text!r}")
     return host, int(port)
 
--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -38,15 +38,22 @@
         raise Unreadable(f"{path}: {err.strerror}") from err
     except orjson.JSONDecodeError as err:
         raise Unreadable(f"{path}: not JSON: {err}") from err
+    if not isinstance(fields, dict):
+        raise Unreadable(f"{path}: not an object")
     for variable, name in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
-        if isinstance(fields, dict) and environ.get(variable):
+        if environ.get(variable):
             fields[name] = environ[variable]
     try:
-        return _node(fields)
+        return decode(fields)
     except Unreadable as err:
         raise Unreadable(f"{path}: {err}") from err
+
+
+def decode(fields: dict[str, Any]) -> Node:
+    try:
+        return _node(fields)
     except (KeyError, TypeError, ValueError, AttributeError) as err:
-        raise Unreadable(f"{path}: {type(err).__name__}: {err}") from err
+        raise Unreadable(f"{type(err).__name__}: {err}") from err
 
 
 def _node(fields: dict[str, Any]) -> Node:
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -21,7 +21,6 @@
 
 SWEEP = 1.0  # s between looks for idle connections
 ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
-LINGER = 500.0  # ms for last answers to be written
 SPARE = 32  # descriptors for files, the listener, discovery, peers and what is just being accepted
 
 
@@ -78,7 +77,7 @@
             loop.add_signal_handler(number, told_to_stop.set)
         if self.node.peer_listen is not None:
             await self.peers.listen(self.node.peer_listen)
-        self.post(self.node.known)
+        self.inbox.append(self.node.known)
         self.round()
         if not self.node.deployment.must_ask:
             self.watch()
@@ -95,14 +94,19 @@
         self.enter(Phase.CLOSING)
         self.clients.stop_listening()
         while self.reducer.owed or any(c.begun for c in self.clients.open.values()):
+            self.clients.close_idle()
             await asyncio.sleep(0.01)
-        await self.clients.finish(LINGER)
+        await self.clients.finish()
+        self.shut()
+        self.enter(Phase.STOPPED)
+        return 0
+
+    def shut(self) -> None:
+        self.clients.stop_listening()
         self.servers.finish()
         self.peers.close()
         if self.watching is not None:
             self.watching.cancel()
-        self.enter(Phase.STOPPED)
-        return 0
 
     def ready(self) -> bool:
         return self.phase is Phase.SERVING
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 from collections.abc import Callable
+from typing import Any, cast
 
 import h11
 
@@ -13,7 +15,18 @@
 KEPT = 0.75  # share of the servers' keep-alive after which an idle connection is retired
 READ = 65536
 
-Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+class Reader(asyncio.StreamReader):
+    """Counts what came, so that an idle connection shows what nobody asked for."""
+
+    came = 0
+
+    def feed_data(self, data: Any) -> None:
+        self.came += len(data)
+        super().feed_data(data)
+
+
+Streams = tuple[Reader, asyncio.StreamWriter]
 
 
 class Link:
@@ -24,11 +37,13 @@
         self.http = h11.Connection(h11.CLIENT)
         self.written = False
         self.since = 0.0
+        self.read = 0
         self.writer.transport.set_write_buffer_limits(0)  # so that drained means written
 
     def dead(self) -> bool:
-        transport = self.writer.transport
-        return self.reader.at_eof() or self.reader.exception() is not None or transport.is_closing()
+        reader = self.reader
+        ended = reader.at_eof() or reader.exception() is not None or self.writer.transport.is_closing()
+        return ended or reader.came > self.read
 
     async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
         self.written = False
@@ -49,6 +64,7 @@
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 data = await self.reader.read(READ)
+                self.read += len(data)
                 if not data and self.http.their_state is h11.SEND_BODY and not self.framed(response):
                     raise ConnectionResetError("cut, or of no stated length")
                 self.http.receive_data(data)
@@ -89,7 +105,12 @@
         self.tasks[send.dispatch] = asyncio.get_running_loop().create_task(self.run(send, self.clock()))
 
     def close(self, dispatch: int) -> None:
-        if task := self.tasks.get(dispatch):
+        task = self.tasks.get(dispatch)
+        if task is not None and inspect.getcoroutinestate(cast(Any, task.get_coro())) == inspect.CORO_CREATED:
+            # Cancelled before its first step it would never tell its end.
+            del self.tasks[dispatch]
+            self.post(m.Ended(dispatch, Result.UNUSED, 0.0))
+        if task is not None:
             task.cancel()
 
     async def run(self, send: m.Send, began: float) -> None:
@@ -98,7 +119,8 @@
         try:
             async with asyncio.timeout(send.give_up_after / 1000.0):
                 link = self.pooled(send.address) or await self.connect(send.address)
-                result, page = await link.ask(*m.request(send))
+                left = send.give_up_after - (self.clock() - began)
+                result, page = await link.ask(*m.request(send.asked, left))
         except TimeoutError:
             result = Result.EXPIRED if link is not None and link.written else Result.NO_CONNECTION
         except asyncio.CancelledError:
@@ -119,7 +141,7 @@
         self.links += 1
         try:
             async with asyncio.timeout(self.connect_timeout / 1000.0 if self.connect_timeout else None):
-                streams = await asyncio.open_connection(*address, limit=READ)
+                streams = await self.open(address)
         except BaseException as err:
             self.links -= 1
             if isinstance(err, TimeoutError):
@@ -127,6 +149,13 @@
             raise
         return Link(address, streams)
 
+    async def open(self, address: m.Address) -> Streams:
+        loop = asyncio.get_running_loop()
+        reader = Reader(limit=READ, loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        transport, _ = await loop.create_connection(lambda: protocol, *address)
+        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
     def pooled(self, address: m.Address) -> Link | None:
         """The one last used: the others may then be retired."""
         links = self.idle.get(address, [])
--- a/tests/host.py
+++ b/tests/host.py
@@ -1,9 +1,16 @@
-"""A tiny host for one gateway: it keeps the clock, names the servers and writes down what was decided."""
+"""Hosts for the tests: a tiny one for a gateway, that keeps the clock and writes down what was decided; an
+edge node on loopback with stand-ins for what it speaks to."""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import io
 from typing import Any
 
+from onyxpost.edge import node
+from onyxpost.edge.log import Lines
+from onyxpost.edge.program import Program
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, ListRow, Plan, Result, Standing
 from onyxpost.logic import Gateway
 
@@ -85,3 +92,105 @@
 
 def kinds(done: list[tuple[Any, ...]]) -> list[str]:
     return [d[0] for d in done if d[0] != "log"]
+
+
+# For the edge node
+
+SETTINGS: dict[str, Any] = {
+    "ordinal": 0, "n_instances": 2, "quantum_us": 2000, "discovery": "pushed",
+    "bounds": {"try_limit": 4, "parallel_tries": True, "cancelling": True, "peers": True, "retry_after": True,
+               "max_retry_after_us": 1_000_000, "connect_timeout_us": 250_000, "keepalive_us": 15_000_000},
+    "family_info": {"mail_per_s": 40.0},
+    "grades": [
+        {"name": "check", "aim_us": 750_000, "deadline_us": 2_000_000, "effect": "retryable", "worth": 2.0},
+        {"name": "toll", "aim_us": 1_200_000, "deadline_us": 5_000_000, "effect": "dedup", "group": "all",
+         "dedup_window_us": 3_000_000, "worth": 3.0, "late_value": 0.2},
+    ],
+    "packages": [{"name": "basic", "refill": 100.0, "depth": 900.0}],
+    "rules": {"start_capacity": 0.2, "cold_us": 10_000_000, "fall_multiple": 4.0, "fall_us": 1_500_000},
+}  # fmt: skip
+
+
+def node_fields(*servers: tuple[str, int], **more: Any) -> dict[str, Any]:
+    rows = [
+        {"instanceId": f"s{i}", "hostPort": f"{host}:{port}", "lifecycle": "up", "startedAtMs": 0}
+        for i, (host, port) in enumerate(servers)
+    ]
+    return {
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
+        "limits": {"sockets": 256}, "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", "127.0.0.1:2"],
+        "known": {"generation": 4, "instances": rows}, "settings": SETTINGS,
+    } | more  # fmt: skip
+
+
+def wire_req(frontend: str = "check", trace: str = "t1", **headers: str) -> bytes:
+    named = {
+        "Host": "b", "X-Trace-Id": trace, "Plan": "basic", "Cookie": "theme=dark; key=00000000b4d65521",
+        "X-Expires-In": "1900m", "Quota-Info": "units=2,spread=2,first=1",
+    } | {name.replace("_", "-"): value for name, value in headers.items()}  # fmt: skip
+    lines = [f"GET /{frontend}/7?a=b HTTP/1.1", *(f"{k}: {v}" for k, v in named.items() if v)]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+PAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Type: text/x\r\nX-Mark: 1\r\n\r\nhello"
+
+
+class AppServer:
+    """A stand-in that writes `says` (a text, then whether to close) for each req, in turn; None: nothing."""
+
+    def __init__(self, *says: tuple[bytes, bool] | None) -> None:
+        self.says, self.got, self.opened, self.closed = list(says), [], 0, asyncio.Event()
+
+    async def __aenter__(self) -> AppServer:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                self.got.append(await reader.readuntil(b"\r\n\r\n"))
+                said = self.says.pop(0) if self.says else (PAGE, False)
+                if said is not None:
+                    writer.write(said[0])
+                if said is not None and said[1]:
+                    break
+        self.closed.set()
+        writer.close()
+
+
+class Edge:
+    """A whole edge node in this process, and a client's connection to it."""
+
+    def __init__(self, *servers: tuple[str, int], **more: Any) -> None:
+        self.out = io.BytesIO()
+        self.program = Program(node.decode(node_fields(*servers, **more)), Lines("n0", self.out))
+
+    async def __aenter__(self) -> Edge:
+        self.running = asyncio.get_running_loop().create_task(self.program.run())
+        while not self.program.ready():
+            await asyncio.sleep(0.001)
+        assert self.program.clients.server is not None
+        self.address = self.program.clients.server.sockets[0].getsockname()
+        self.reader, self.writer = await asyncio.open_connection(*self.address)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.writer.close()
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+        self.program.shut()
+
+    async def ask(self, data: bytes) -> tuple[bytes, bytes]:
+        self.writer.write(data)
+        return await self.answer()
+
+    async def answer(self) -> tuple[bytes, bytes]:
+        async with asyncio.timeout(5.0):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            return head, await self.reader.readexactly(length)
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,170 @@
+"""The reducer without sockets: what comes in, what goes out, and exactly one answer for each req."""
+
+import unittest
+from typing import Any
+
+import h11
+
+from onyxpost import deployment
+from onyxpost.edge import messages as m
+from onyxpost.edge.reducer import Reducer
+from onyxpost.interface import Result
+from tests.host import SETTINGS, node_fields
+
+ASKED = m.Asked(1, 0.0, "t", b"GET", b"/check", [], b"", "check", "c", "basic", 1, 1, 0, 900.0)
+KNOWN = deployment.decode(SETTINGS)
+
+
+class Script:
+    """A decider that does as each story says, and writes down what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[object, ...]] = []
+        self.on: dict[str, Any] = {}
+
+    def round(self, now: float, news: Any, writer: Any) -> None:
+        for item in news:
+            self.told.append(item)
+            if act := self.on.get(item[0]):
+                act(writer, *item[1:])
+
+
+ENDS = [(Result.OK, True), (Result.OK, True), (Result.LOST, True)]
+
+
+class Story(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now, self.script = 1000.0, Script()
+        self.reducer = Reducer(KNOWN, self.script)
+        self.step(m.listed(node_fields(("127.0.0.1", 9))["known"]))
+        self.script.on["arrived"] = lambda w, rid, leaves, *_: w.dispatch(rid, "s0", leaves - self.now)
+
+    def step(self, *values: m.Incoming) -> list[m.Outgoing]:
+        return self.reducer.step(self.now, values)
+
+    def asked(self, client: int = 1, trace: str = "t") -> m.Asked:
+        return ASKED._replace(client=client, at=self.now, trace=trace)
+
+    def kinds(self, effects: list[m.Outgoing]) -> list[str]:
+        return [e.kind.value if isinstance(e, m.Answer) else type(e).__name__ for e in effects]
+
+    def test_the_first_whole_answer_is_passed_and_the_second_is_not(self) -> None:
+        (first,) = self.step(self.asked())
+        assert isinstance(first, m.Send)
+        for _ in range(2):
+            self.reducer.dispatch("1", "s0", 500.0)
+        page = m.Page([], b"x")
+        self.assertEqual(self.kinds(self.step(m.Ended(first.dispatch, Result.OK, 5.0, page))), ["passed"])
+        self.assertEqual(self.step(m.Ended(first.dispatch + 1, Result.OK, 9.0, page)), [])
+        self.step(m.Ended(first.dispatch + 2, Result.LOST, 9.0))
+        ends = [item for item in self.script.told if item[0] == "dispatch_ended"]
+        self.assertEqual([(end[3], end[5]) for end in ends], ENDS)
+        self.assertEqual((self.reducer.held, self.reducer.traces, self.reducer.dispatches), ({}, {}, {}))
+
+    def test_a_dispatch_is_told_to_have_ended_once(self) -> None:
+        (send,) = self.step(self.asked())
+        assert isinstance(send, m.Send)
+        for _ in range(2):
+            self.step(m.Ended(send.dispatch, Result.LOST, 5.0))
+        self.assertEqual([item[0] for item in self.script.told].count("dispatch_ended"), 1)
+
+    def test_nothing_is_answered_to_a_client_that_left(self) -> None:
+        (send,) = self.step(self.asked())
+        assert isinstance(send, m.Send)
+        self.script.on["client_left"] = lambda w, rid: w.cancel(rid, 0)
+        self.assertEqual(self.step(m.ClientLeft(1)), [m.Close(send.dispatch)])
+        self.assertEqual(self.step(m.Ended(send.dispatch, Result.OK, 5.0, m.Page([], b""))), [])
+
+    def test_a_dispatch_lasts_until_shortly_before_the_client_gives_up(self) -> None:
+        (send,) = self.step(self.asked())
+        assert isinstance(send, m.Send)
+        self.assertEqual(send.give_up_after, 900.0 - KNOWN.tick)
+
+    def test_a_dispatch_for_a_req_already_answered_is_unused_and_not_sent(self) -> None:
+        (send,) = self.step(self.asked())
+        assert isinstance(send, m.Send)
+        self.step(m.ClientLeft(1))
+        self.reducer.effects = []
+        self.reducer.dispatch("1", "s0", 500.0)
+        self.assertEqual(self.reducer.effects, [])
+        self.step()
+        self.assertEqual(self.script.told[-1][:4], ("dispatch_ended", "1", 1, Result.UNUSED))
+
+    def test_an_id_that_is_still_held_is_not_sent_on_beside_the_first(self) -> None:
+        self.step(self.asked())
+        self.assertEqual(self.step(self.asked(client=2)), [m.Answer(2, m.Kind.ABORTED)])
+
+    def test_a_decision_that_fails_is_told_and_its_neighbours_are_still_decided(self) -> None:
+        def fail_once(writer: Any, rid: str, leaves: float, *_: Any) -> None:
+            if rid == "1":
+                raise ZeroDivisionError("here")
+            writer.deny(rid, 30.0)
+
+        self.script.on["arrived"] = fail_once
+        effects = self.step(self.asked(), self.asked(client=2, trace="u"))
+        self.assertEqual(self.kinds(effects), ["Log", "aborted", "denied"])
+        assert isinstance(effects[0], m.Log)
+        self.assertIn("ZeroDivisionError: here", effects[0].fields["cause"])
+
+    def test_a_req_that_was_lost_sight_of_is_aborted_when_its_time_is_up(self) -> None:
+        self.script.on["arrived"] = lambda *_: None
+        self.step(self.asked())
+        self.now += 850.0
+        self.assertEqual(self.step(m.Woken(0)), [])
+        self.now += 50.0
+        self.assertEqual(self.kinds(self.step(m.Woken(0))), ["Log", "aborted"])
+        self.step()
+        self.assertEqual(self.script.told[-1], ("client_left", "1"))
+
+
+class Words(unittest.TestCase):
+    def asked(self, *changed: tuple[str, str], target: str = "/check/7?a=b") -> m.Asked:
+        headers = {
+            "x-trace-id": "t", "plan": "basic", "cookie": "a=1; key=00000000b4d65521", "x-expires-in": "480m",
+            "quota-info": "units=2,spread=3,first=1", "host": "b", "connection": "keep-alive",
+        } | dict(changed)  # fmt: skip
+        request = h11.Request(method="GET", target=target, headers=[(k, v) for k, v in headers.items() if v])
+        return m.asked(1, 0.0, request, b"", KNOWN)
+
+    def test_a_req_is_read_as_the_protocol_says(self) -> None:
+        a = self.asked()
+        self.assertEqual((a.frontend, a.customer, a.plan, a.units, a.spread, a.first, a.patience),
+                         ("check", "b4d65521", "basic", 2, 3, 1, 480.0))  # fmt: skip
+        self.assertEqual(self.asked(("x-expires-in", "480500u")).patience, 480.5)
+
+    def test_what_cannot_be_read_is_refused(self) -> None:
+        for name, value in (
+            ("x-trace-id", ""), ("plan", "gold"), ("cookie", "key=xyz"), ("cookie", "a=1"),
+            ("x-expires-in", "480s"), ("x-expires-in", "-1m"), ("x-expires-in", "nanm"),
+            ("quota-info", "units=2"), ("quota-info", "units=a,spread=1,first=0"),
+        ):  # fmt: skip
+            with self.subTest(name=name, value=value), self.assertRaises(m.Refusal) as caught:
+                self.asked((name, value))
+            self.assertEqual(caught.exception.status, 400)
+        for target, status in (("/other/7", 404), ("/", 404), ("/toll", 400)):  # a toll has no key
+            with self.subTest(target=target), self.assertRaises(m.Refusal) as caught:
+                self.asked(target=target)
+            self.assertEqual(caught.exception.status, status)
+
+    def test_what_is_sent_on_keeps_the_req_and_tells_how_long_this_node_waits(self) -> None:
+        request, _ = m.request(self.asked(("idempotency-key", "k")), 250.5)
+        named = dict(request.headers)
+        self.assertEqual((request.method, request.target), (b"GET", b"/check/7?a=b"))
+        self.assertEqual((named[b"x-trace-id"], named[b"idempotency-key"]), (b"t", b"k"))
+        self.assertEqual(named[b"x-expires-in"], b"250500u")
+        self.assertFalse({b"connection", b"cookie", b"quota-info"} & set(named))
+
+    def test_only_a_word_of_the_server_proves_that_it_never_ran(self) -> None:
+        for status, headers, result in (
+            (200, [], Result.OK), (500, [], Result.ERROR), (503, [], Result.ERROR),
+            (503, [("x-never-ran", "1")], Result.FULL), (504, [("x-never-ran", "1")], Result.FULL),
+            (500, [("x-never-ran", "1")], Result.ERROR), (503, [("x-never-ran", "0")], Result.ERROR),
+        ):  # fmt: skip
+            self.assertEqual(m.result(h11.Response(status_code=status, headers=headers)), result)
+
+    def test_strangers_and_garbage_are_not_heard(self) -> None:
+        peers = [("127.0.0.1", 1), ("127.0.0.1", 2)]
+        for data, source in ((b"ok", ("127.0.0.1", 3)), (b"ok", peers[0]), (b"\xff", peers[1]),
+                             (b"", peers[1]), (b"x" * 257, peers[1])):  # fmt: skip
+            self.assertIsNone(m.peer_told(data, source, peers, 0))
+        self.assertEqual(m.peer_told(b"ok", peers[1], peers, 0), m.PeerTold(1, "ok"))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,10 +1,16 @@
 """What only real sockets show: stand-ins of our own on loopback, one short story for each failure met."""
 
 import asyncio
+import signal
+import socket
 import unittest
 
 from onyxpost.edge import messages as m
+from onyxpost.edge import program
 from onyxpost.edge.peers import Peers
+from onyxpost.edge.servers import Servers
+from onyxpost.interface import Result
+from tests.host import PAGE, AppServer, Edge, wire_req
 
 
 class Neighbours(unittest.IsolatedAsyncioTestCase):
@@ -26,3 +32,128 @@
         nodes[0].tell(m.Tell(1, b"7 1:2:3"))
         self.assertEqual(await asyncio.wait_for(heard.get(), 5.0), m.PeerTold(0, "7 1:2:3"))
         self.assertTrue(heard.empty())
+
+
+class OneNode(unittest.IsolatedAsyncioTestCase):
+    async def test_a_page_is_passed_unchanged_and_its_connection_used_again(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            for trace in ("a", "b"):
+                head, body = await edge.ask(wire_req(trace=trace))
+                self.assertEqual((head.split(b"\r\n")[0][:12], body), (b"HTTP/1.1 200", b"hello"))
+                self.assertIn(b"x-mark: 1", head.lower())
+            self.assertEqual((len(server.got), server.opened), (2, 1))
+            self.assertTrue(server.got[0].startswith(b"GET /check/7?a=b HTTP/1.1\r\n"))
+
+    async def test_a_cut_or_malformed_page_is_not_passed(self) -> None:
+        for text in (PAGE[:-2], PAGE.replace(b"Content-Length: 5\r\n", b""), b"nonsense\r\n\r\n",
+                     PAGE.replace(b": 5", b": 70000") + b"x" * 69995):  # fmt: skip
+            async with AppServer(*[(text, True)] * 9) as server, Edge(server.address) as edge:
+                head, body = await edge.ask(wire_req())
+                self.assertIn(head.split(b" ")[1], (b"429", b"502"), text[:60])
+                self.assertEqual(body, b"")
+
+    async def test_bytes_that_nobody_asked_for_do_not_answer_the_next_req(self) -> None:
+        async with AppServer((PAGE + PAGE.replace(b"hello", b"other"), False)) as server:
+            async with Edge(server.address) as edge:
+                self.assertEqual((await edge.ask(wire_req(trace="a")))[1], b"hello")
+                self.assertEqual((await edge.ask(wire_req(trace="b")))[1], b"hello")
+                self.assertEqual(server.opened, 2)
+
+    async def test_late_bytes_on_an_idle_connection_do_not_either(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            await edge.ask(wire_req(trace="a"))
+            ((link,),) = edge.program.servers.idle.values()
+            link.reader.feed_data(PAGE.replace(b"hello", b"other"))
+            self.assertEqual((await edge.ask(wire_req(trace="b")))[1], b"hello")
+
+    async def test_a_connection_that_the_server_closed_is_not_used_again(self) -> None:
+        async with AppServer((PAGE, True)) as server, Edge(server.address) as edge:
+            await edge.ask(wire_req(trace="a"))
+            ((link,),) = edge.program.servers.idle.values()
+            while not link.reader.at_eof():
+                await asyncio.sleep(0.001)
+            self.assertEqual((await edge.ask(wire_req(trace="b")))[1], b"hello")
+            self.assertEqual((server.opened, len(server.got)), (2, 2))
+
+    async def test_a_client_that_leaves_takes_its_dispatch_with_it(self) -> None:
+        async with AppServer(None) as server, Edge(server.address) as edge:
+            edge.writer.write(wire_req("toll", Idempotency_Key="k", X_Expires_In="4900m"))
+            while not server.got:
+                await asyncio.sleep(0.001)
+            edge.writer.close()
+            async with asyncio.timeout(3.0):  # well before its time-out
+                await server.closed.wait()
+                while edge.program.reducer.held:
+                    await asyncio.sleep(0.001)
+
+    async def test_a_dispatch_closed_before_its_first_step_still_tells_its_end(self) -> None:
+        ends: list[m.Incoming] = []
+        asked = m.Asked(1, 0.0, "t", b"GET", b"/check", [], b"", "check", "c", "basic", 1, 1, 0, 900.0)
+        servers = Servers(lambda: 0.0, ends.append, lambda: True, print, 250.0, 15000.0)
+        servers.send(m.Send(7, ("127.0.0.1", 9), asked, 900.0))
+        servers.close(7)
+        await asyncio.sleep(0.01)
+        self.assertEqual(ends, [m.Ended(7, Result.UNUSED, 0.0)])
+
+    async def test_a_server_that_refuses_or_never_comes_up_never_ran(self) -> None:
+        ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
+        asked = m.Asked(1, 0.0, "t", b"GET", b"/check", [], b"", "check", "c", "basic", 1, 1, 0, 900.0)
+        servers = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 20.0, 15000.0)
+        with socket.socket() as silent:  # its one place in the queue is taken: a further one never comes up
+            silent.bind(("127.0.0.1", 0))
+            silent.listen(0)
+            with socket.create_connection(silent.getsockname()):
+                for address in (silent.getsockname(), ("127.0.0.1", 9)):
+                    servers.send(m.Send(7, address, asked, 900.0))
+                    end = await asyncio.wait_for(ends.get(), 5.0)
+                    assert isinstance(end, m.Ended)
+                    self.assertIs(end.result, Result.NO_CONNECTION)
+
+    async def test_what_cannot_be_taken_is_answered_and_nothing_is_sent_on(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            for data, status in ((wire_req(X_Trace_Id=""), b"400"), (wire_req("other"), b"404")):
+                self.assertIn(status, (await edge.ask(data))[0])
+            long = wire_req(Content_Length="70000") + b"x" * 70000
+            self.assertIn(b"413", (await edge.ask(long))[0])
+            self.assertEqual(server.got, [])
+
+    async def test_a_req_that_came_behind_a_refused_one_is_answered_too(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            self.assertIn(b"404", (await edge.ask(wire_req("other") + wire_req()))[0])
+            self.assertEqual((await edge.answer())[1], b"hello")
+
+    async def test_beyond_its_room_the_node_lets_idle_connections_go_first(self) -> None:
+        room = program.SPARE + 2
+        async with AppServer() as server, Edge(server.address, limits={"sockets": room}) as edge:
+            await edge.ask(wire_req(trace="a"))
+            self.assertEqual(edge.program.servers.links, 1)
+            await edge.ask(wire_req(trace="a"))
+            self.assertEqual(edge.program.servers.links, 1)
+            second, writer = await asyncio.open_connection(*edge.address)
+            while len(edge.program.clients.open) < 2:
+                await asyncio.sleep(0.001)
+            self.assertEqual(edge.program.servers.links, 0)  # gave its place to the second client
+            _, last = await asyncio.open_connection(*edge.address)
+            self.assertEqual(await asyncio.wait_for(edge.reader.read(), 5.0), b"")  # idle longest
+            self.assertFalse(second.at_eof())
+            writer.close()
+            last.close()
+
+    async def test_told_to_stop_it_answers_all_it_took_and_what_still_comes(self) -> None:
+        async with AppServer(None) as server, Edge(server.address) as edge:
+            idle_reader, idle_writer = await asyncio.open_connection(*edge.address)
+            edge.writer.write(wire_req(X_Expires_In="900m"))
+            while not server.got or len(edge.program.clients.open) < 2:
+                await asyncio.sleep(0.001)
+            signal.raise_signal(signal.SIGTERM)
+            self.assertEqual(await asyncio.wait_for(idle_reader.read(), 5.0), b"")
+            idle_writer.close()
+            late_reader, late_writer = await asyncio.open_connection(*edge.address)
+            late_writer.write(wire_req(trace="late"))
+            late = await asyncio.wait_for(late_reader.read(), 5.0)
+            late_writer.close()
+            self.assertIn(b"hello", late)
+            self.assertIn(b"connection: close", late.lower())
+            head, _ = await edge.answer()  # the server never answered: given up on in time
+            self.assertIn(head.split(b" ")[1], (b"429", b"502"))
+            self.assertEqual(await asyncio.wait_for(edge.running, 5.0), 0)
