Out of room, no connection is cut off with its first req on the way

Checked: no node refused or crashed, and the log was empty. The newest connection was closed to make room for itself: it counts as idle until its first req has been read (Clients.close_idle, Clients.serve). First tried alone: read the req of a client beyond room before denying it. Now only connections that have been answered once make room.

A server's connection is waited for no longer than a drain's grace, as a dispatch could else begin past it. 16 descriptors are kept apart, not 32: a node holds about ten besides its connections.

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -50,6 +50,7 @@
 
 def _decode(params: Fields) -> Deployment:
     bounds, family, rules = params["bounds"], params.get("family_info", {}), params["rules"]
+    grace = rules.get("drain_grace_us", 250_000)
     return Deployment(
         number=params["ordinal"],
         nodes=params["n_instances"],
@@ -71,7 +72,8 @@
             family.get("mail_per_s", 0.0),
         ),
         must_ask=params.get("discovery") == "on_request",
-        connect_timeout=bounds.get("connect_timeout_us", 0) / 1000.0,
+        # One dispatch may wait for its connection no longer than a drain's grace: it could begin past it.
+        connect_timeout=min(bounds.get("connect_timeout_us", grace), grace) / 1000.0,
         keep_alive=bounds.get("keepalive_us", 0) / 1000.0,
     )
 
--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -25,6 +25,8 @@
         self.since = 0.0  # when it last began to wait for a req, or got the first of one
         self.waits = False  # for the answer to a req that was handed on
         self.begun = False  # some of a req is here
+        self.fresh = True  # nothing answered yet: its first req may be on its way
+        self.beyond = False  # the node's room: its one req is read, denied, and the connection closed
         self.request: h11.Request | None = None
         self.body = bytearray()
 
@@ -57,9 +59,7 @@
         client.since = self.clock()
         self.open[client.number] = client
         try:
-            if not self.room():
-                self.reply(client, 503, [(b"Retry-After", b"1")], b"")
-                return
+            client.beyond = not self.room()
             while not writer.transport.is_closing():
                 data = await reader.read(READ)
                 if data and client.idle():
@@ -129,6 +129,9 @@
         if request.target == b"/healthz" and request.method in (b"GET", b"HEAD"):
             self.reply(client, 200 if self.ready() else 503, [], b"")
             return
+        if client.beyond:
+            self.reply(client, 503, [(b"Retry-After", b"1")], b"", close=True)
+            return
         # Its time has run since it was sent, which is before its first byte came.
         asked = m.asked(client.number, client.since, request, bytes(client.body), self.deployment)
         client.waits = True
@@ -151,7 +154,7 @@
         self, client: Client, status: int, headers: m.Headers, body: bytes, close: bool = False
     ) -> None:
         http = client.http
-        client.begun = False
+        client.begun = client.fresh = False
         client.since = self.clock()
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             client.writer.close()
@@ -171,8 +174,10 @@
             client.request = None
 
     def close_idle(self, most: int | None = None) -> int:
-        """Close connections between reqs, those that have stood longest first."""
-        idle = sorted((c for c in self.open.values() if c.idle()), key=lambda c: c.since)[:most]
+        """Close connections between reqs, those that have stood longest first. A req that crosses this on its
+        way is sent once more by its client, but the first on a connection would be lost."""
+        idle = [client for client in self.open.values() if client.idle() and not client.fresh]
+        idle = sorted(idle, key=lambda client: client.since)[:most]
         for client in idle:
             client.writer.close()
         return len(idle)
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -21,7 +21,7 @@
 
 SWEEP = 1.0  # s between looks for idle connections
 ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
-SPARE = 32  # descriptors for files, the listener, discovery, peers and what is just being accepted
+SPARE = 16  # descriptors for files, the listener, discovery, peers and what is just being accepted
 
 
 class Phase(Enum):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -118,6 +118,10 @@
 
 
 class Words(unittest.TestCase):
+    def test_no_connection_is_waited_for_past_the_grace_of_a_drain(self) -> None:
+        rules = SETTINGS["rules"] | {"drain_grace_us": 100_000}
+        self.assertEqual(deployment.decode(SETTINGS | {"rules": rules}).connect_timeout, 100.0)
+
     def asked(self, *changed: tuple[str, str], target: str = "/check/7?a=b") -> m.Asked:
         headers = {
             "x-trace-id": "t", "plan": "basic", "cookie": "a=1; key=00000000b4d65521", "x-expires-in": "480m",
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -125,8 +125,6 @@
     async def test_beyond_its_room_the_node_lets_idle_connections_go_first(self) -> None:
         room = program.SPARE + 2
         async with AppServer() as server, Edge(server.address, limits={"sockets": room}) as edge:
-            await edge.ask(wire_req(trace="a"))
-            self.assertEqual(edge.program.servers.links, 1)
             await edge.ask(wire_req(trace="a"))
             self.assertEqual(edge.program.servers.links, 1)
             second, writer = await asyncio.open_connection(*edge.address)
@@ -135,15 +133,32 @@
             self.assertEqual(edge.program.servers.links, 0)  # gave its place to the second client
             _, last = await asyncio.open_connection(*edge.address)
             self.assertEqual(await asyncio.wait_for(edge.reader.read(), 5.0), b"")  # idle longest
-            self.assertFalse(second.at_eof())
+            while len(edge.program.clients.open) != 2:
+                await asyncio.sleep(0.001)
+            _, one_more = await asyncio.open_connection(*edge.address)
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n")  # its first: not closed before that
+            self.assertIn(b"200 ", await asyncio.wait_for(second.readuntil(b"\r\n\r\n"), 5.0))
+            for each in (writer, last, one_more):
+                each.close()
+
+    async def test_a_client_beyond_its_room_is_read_and_denied_not_cut_off(self) -> None:
+        async with AppServer(None) as server, Edge(server.address) as edge:
+            edge.program.clients.room = lambda: False
+            reader, writer = await asyncio.open_connection(*edge.address)
+            writer.write(wire_req())
+            text = await asyncio.wait_for(reader.read(), 5.0)
             writer.close()
-            last.close()
+            self.assertIn(b"503", text.split(b"\r\n")[0])
+            self.assertIn(b"retry-after", text.lower())
+            self.assertEqual(server.got, [])
 
     async def test_told_to_stop_it_answers_all_it_took_and_what_still_comes(self) -> None:
         async with AppServer(None) as server, Edge(server.address) as edge:
             idle_reader, idle_writer = await asyncio.open_connection(*edge.address)
             edge.writer.write(wire_req(X_Expires_In="900m"))
-            while not server.got or len(edge.program.clients.open) < 2:
+            idle_writer.write(b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n")
+            self.assertIn(b"200 ", await idle_reader.readuntil(b"\r\n\r\n"))
+            while not server.got:
                 await asyncio.sleep(0.001)
             signal.raise_signal(signal.SIGTERM)
             self.assertEqual(await asyncio.wait_for(idle_reader.read(), 5.0), b"")
