--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# build: what a node needs; test, lint: as CI runs them; run: one node by NODE.
+NODE ?= deploy/example-node.json
+
+.PHONY: build test lint run clean
+
+build:
+	sh deploy/build.sh
+
+test: build
+	.venv/bin/python -m unittest discover -s tests -t .
+
+lint: .ci-venv
+	.ci-venv/bin/ruff check onyxpost tests
+	.ci-venv/bin/mypy
+
+run: build
+	EDGE_CONFIG=$(NODE) .venv/bin/python -m onyxpost serve
+
+.ci-venv: requirements.txt requirements-dev.txt
+	test -d .ci-venv || python3 -m venv .ci-venv
+	.ci-venv/bin/pip -q install -r requirements-dev.txt
+	touch .ci-venv
+
+clean:
+	rm -rf .venv .ci-venv .mypy_cache .ruff_cache
