One place reads an answer, for app servers and discovery alike

The two loops over h11's events were twins; the one that is left (onyxpost/edge/exchange.py) also refuses a list whose end nothing tells. Headers on framing are added in one place (Clients.reply). Behaviour is otherwise the same. Two stories more: each watch goes on from what the last one told; an agent that talks nonsense or falls silent is asked again.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -143,7 +143,7 @@
             return
         client.waits = False
         try:
-            self.reply(client, *m.answer(answer, self.leaving))
+            self.reply(client, *m.answer(answer))
         except h11.LocalProtocolError:  # an answer that cannot be put in words: the client must not wait on
             client.writer.close()
             raise
@@ -159,10 +159,9 @@
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             client.writer.close()
             return
-        if not any(name == b"Content-Length" for name, _ in headers):
-            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
-        if close or (self.leaving and not any(name == b"Connection" for name, _ in headers)):
-            headers = [*headers, (b"Connection", b"close")]
+        headers.append((b"Content-Length", b"%d" % len(body)))
+        if close or self.leaving:
+            headers.append((b"Connection", b"close"))
         data = http.send(h11.Response(status_code=status, headers=headers)) or b""
         if body and (client.request is None or client.request.method != b"HEAD"):
             data += http.send(h11.Data(data=body)) or b""
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import h11
 
 from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
+from onyxpost.edge.exchange import answered, asking
 
 WAIT = 5000  # ms that one watch may wait
 GRACE = 1000.0  # ms past that wait in which a live agent answers
@@ -29,7 +31,7 @@
         while True:
             try:
                 await self.watch_on_one()
-            except (OSError, EOFError, TimeoutError, h11.ProtocolError, Unreadable) as err:
+            except (OSError, h11.ProtocolError, Unreadable) as err:
                 if not self.down:
                     self.down = True
                     self.log(m.Log("discovery down", {"cause": f"{type(err).__name__}: {err}"[:200]}))
@@ -43,11 +45,11 @@
         try:
             http = h11.Connection(h11.CLIENT)
             while http.our_state is h11.IDLE:
-                writer.write(self.request(http))
+                writer.write(asking(http, self.request()))
                 async with asyncio.timeout((WAIT + GRACE) / 1000.0):
-                    status, text = await self.response(http, reader)
-                if status != 200:
-                    raise Unreadable(f"status {status}")
+                    response, text = await answered(http, partial(reader.read, READ), LIST_MOST)
+                if response.status_code != 200:
+                    raise Unreadable(f"status {response.status_code}")
                 listed = m.listed(text)
                 if self.down:
                     self.down = False
@@ -60,25 +62,6 @@
         finally:
             writer.transport.abort()
 
-    def request(self, http: h11.Connection) -> bytes:
+    def request(self) -> h11.Request:
         target = f"/v1/servers?since={self.generation}&timeout_ms={WAIT}"
-        headers = [("Host", f"{self.address[0]}:{self.address[1]}")]
-        data = http.send(h11.Request(method="GET", target=target, headers=headers)) or b""
-        return data + (http.send(h11.EndOfMessage()) or b"")
-
-    async def response(self, http: h11.Connection, reader: asyncio.StreamReader) -> tuple[int, bytes]:
-        status, text = 0, bytearray()
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(READ))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                text += event.data
-                if len(text) > LIST_MOST:
-                    raise Unreadable("list too long")
-            elif isinstance(event, h11.EndOfMessage):
-                return status, bytes(text)
-            elif not isinstance(event, h11.InformationalResponse):
-                raise EOFError("closed")
+        return h11.Request(method="GET", target=target, headers=[("Host", "{}:{}".format(*self.address))])
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -199,17 +199,13 @@
     return amount if unit == b"m" else amount / 1000.0
 
 
-def answer(done: Answer, leaving: bool) -> tuple[int, Headers, bytes]:
-    headers: Headers = [(b"Connection", b"close")] if leaving else []
+def answer(done: Answer) -> tuple[int, Headers, bytes]:
     if done.kind is Kind.PASSED and done.page is not None:
-        headers += [h for h in done.page.headers if h[0] not in KEPT_FROM_CLIENTS]
-        return 200, [*headers, (b"Content-Length", b"%d" % len(done.page.body))], done.page.body
-    headers.append((b"Content-Length", b"0"))
+        return 200, [h for h in done.page.headers if h[0] not in KEPT_FROM_CLIENTS], done.page.body
     if done.kind is Kind.DENIED:
-        if done.retry_after > 0.0:
-            headers.append((b"Retry-After", b"%.3f" % (done.retry_after / 1000.0)))
-        return 429, headers, b""
-    return 502, headers, b""
+        wait = done.retry_after / 1000.0
+        return 429, [(b"Retry-After", b"%.3f" % wait)] if wait > 0.0 else [], b""
+    return 502, [], b""
 
 
 # To and from app servers
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -10,6 +10,7 @@
 import h11
 
 from onyxpost.edge import messages as m
+from onyxpost.edge.exchange import answered, asking
 from onyxpost.interface import Result
 
 KEPT = 0.75  # share of the servers' keep-alive after which an idle connection is retired
@@ -37,51 +38,27 @@
         self.http = h11.Connection(h11.CLIENT)
         self.written = False
         self.since = 0.0
-        self.read = 0
+        self.taken = 0
         self.writer.transport.set_write_buffer_limits(0)  # so that drained means written
 
     def dead(self) -> bool:
         reader = self.reader
         ended = reader.at_eof() or reader.exception() is not None or self.writer.transport.is_closing()
-        return ended or reader.came > self.read
+        return ended or reader.came > self.taken
 
     async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
         self.written = False
-        data = self.http.send(request) or b""
-        if body:
-            data += self.http.send(h11.Data(data=body)) or b""
-        self.writer.write(data + (self.http.send(h11.EndOfMessage()) or b""))
+        self.writer.write(asking(self.http, request, body))
         await self.writer.drain()
         self.written = True
-        response, page = await self.response()
+        response, page = await answered(self.http, self.read, m.BODY_MOST)
         result = m.result(response)
         return result, m.Page(list(response.headers), page) if result is Result.OK else None
 
-    async def response(self) -> tuple[h11.Response, bytes]:
-        response: h11.Response | None = None
-        page = bytearray()
-        while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                data = await self.reader.read(READ)
-                self.read += len(data)
-                if not data and self.http.their_state is h11.SEND_BODY and not self.framed(response):
-                    raise ConnectionResetError("cut, or of no stated length")
-                self.http.receive_data(data)
-            elif isinstance(event, h11.Response):
-                response = event
-            elif isinstance(event, h11.Data):
-                page += event.data
-                if len(page) > m.BODY_MOST:
-                    raise h11.RemoteProtocolError("body over 64 KiB")
-            elif isinstance(event, h11.EndOfMessage) and response is not None:
-                return response, bytes(page)
-            elif not isinstance(event, h11.InformationalResponse):
-                raise ConnectionResetError("closed")
-
-    def framed(self, response: h11.Response | None) -> bool:
-        names = {name for name, _ in response.headers} if response is not None else set()
-        return b"content-length" in names or b"transfer-encoding" in names
+    async def read(self) -> bytes:
+        data = await self.reader.read(READ)
+        self.taken += len(data)
+        return data
 
     def reusable(self) -> bool:
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE or self.dead():
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,15 +1,18 @@
 """What only real sockets show: stand-ins of our own on loopback, one short story for each failure met."""
 
 import asyncio
+import json
 import signal
 import socket
 import unittest
+from unittest import mock
 
 from onyxpost.edge import messages as m
 from onyxpost.edge import program
+from onyxpost.edge.discovery import Discovery
 from onyxpost.edge.peers import Peers
 from onyxpost.edge.servers import Servers
-from onyxpost.interface import Result
+from onyxpost.interface import Result, Standing
 from tests.host import PAGE, AppServer, Edge, wire_req
 
 
@@ -172,3 +175,38 @@
             head, _ = await edge.answer()  # the server never answered: given up on in time
             self.assertIn(head.split(b" ")[1], (b"429", b"502"))
             self.assertEqual(await asyncio.wait_for(edge.running, 5.0), 0)
+
+
+class Agent(unittest.IsolatedAsyncioTestCase):
+    def told(self, generation: int, lifecycle: str) -> bytes:
+        row = {"instanceId": "s0", "hostPort": "127.0.0.1:9", "lifecycle": lifecycle}
+        text = json.dumps({"generation": generation, "reset": False, "instances": [row]}).encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+
+    async def watch(self, agent: AppServer, until: int) -> tuple[list[m.Incoming], list[str]]:
+        heard: list[m.Incoming] = []
+        events: list[str] = []
+        discovery = Discovery(agent.address, 4, heard.append, lambda log: events.append(log.event))
+        watching = asyncio.get_running_loop().create_task(discovery.watch())
+        async with asyncio.timeout(5.0):
+            while len(agent.got) < until:
+                await asyncio.sleep(0.001)
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+        return heard, events
+
+    async def test_each_watch_goes_on_from_what_the_last_one_told(self) -> None:
+        async with AppServer((self.told(5, "draining"), False), None) as agent:
+            heard, events = await self.watch(agent, 2)
+        self.assertEqual([b"since=4" in agent.got[0], b"since=5" in agent.got[1]], [True, True])
+        assert isinstance(heard[0], m.Listed)
+        self.assertEqual((heard[0].rows[0].standing, heard[0].complete), (Standing.DRAINING, False))
+        self.assertEqual((len(heard), events, agent.opened), (1, [], 1))
+
+    async def test_an_agent_that_talks_nonsense_or_falls_silent_is_asked_again(self) -> None:
+        nonsense = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"
+        with mock.patch.multiple("onyxpost.edge.discovery", WAIT=300, GRACE=100.0):
+            async with AppServer((nonsense, False), None, (self.told(5, "up"), False), None) as agent:
+                heard, events = await self.watch(agent, 4)
+        self.assertEqual([type(h) for h in heard], [m.ListFailed, m.Listed])
+        self.assertEqual(events[:2], ["discovery down", "discovery up"])
