--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -147,7 +147,7 @@
         except h11.LocalProtocolError:  # an answer that cannot be put in words: the client must not wait on
             client.writer.close()
             raise
-        if not client.writer.transport.is_closing():
+        if client.http.trailing_data[0] and not client.writer.transport.is_closing():
             self.take(client)  # what it sent meanwhile
 
     def reply(
