A decider that always fails no longer holds the node in one round for ever

Found by reading: Reducer.played was called again until nothing was left, also when the decider had taken nothing in, so a failure before the first item would never end. Clients.take called itself for each refused req, and 1,500 of them sent at once ran out of stack. A used connection was still marked as written when the next req could not be put in words, which would then have counted as one that may have run. Both stories were seen to fail (one to hang) without the fix.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -94,15 +94,17 @@
 
     def take(self, client: Client) -> None:
         """What has come in, as far as it goes."""
-        try:
-            self.events(client, client.http)
-        except h11.RemoteProtocolError as err:
-            self.reply(client, max(400, err.error_status_hint), [], str(err).encode()[:200], close=True)
-        except m.Refusal as err:
-            cut = client.http.their_state is not h11.DONE
-            self.reply(client, err.status, [], str(err).encode(), close=cut)
-            if not client.writer.transport.is_closing():
-                self.take(client)
+        refused = True
+        while refused and not client.writer.transport.is_closing():
+            refused = False
+            try:
+                self.events(client, client.http)
+            except h11.RemoteProtocolError as err:
+                self.reply(client, max(400, err.error_status_hint), [], str(err).encode()[:200], close=True)
+            except m.Refusal as err:
+                refused = True  # others may have come behind it
+                cut = client.http.their_state is not h11.DONE
+                self.reply(client, err.status, [], str(err).encode(), close=cut)
 
     def events(self, client: Client, http: h11.Connection) -> None:
         while not client.waits and (event := http.next_event()) is not h11.NEED_DATA:
@@ -147,7 +149,7 @@
         except h11.LocalProtocolError:  # an answer that cannot be put in words: the client must not wait on
             client.writer.close()
             raise
-        if client.http.trailing_data[0] and not client.writer.transport.is_closing():
+        if client.http.trailing_data[0]:
             self.take(client)  # what it sent meanwhile
 
     def reply(
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -36,7 +36,6 @@
         self.dispatches: dict[int, tuple[Held, int]] = {}  # those out
         self.later: list[tuple[object, ...]] = []  # what the decider is told in the next round
         self.addresses: dict[str, m.Address] = {}
-        self.listed = False
         self.effects: list[m.Outgoing] = []
 
     @property
@@ -74,7 +73,7 @@
             held = self.held.get(str(current[1])) if of_a_req else None
             if held is not None and not held.out:
                 self.end(held)  # nothing else would
-            return False
+            return not current  # a failure that took nothing in would come again for ever
         return True
 
     def overdue(self) -> None:
@@ -110,14 +109,13 @@
                 self.forget(held)
                 return ("client_left", held.id)
             case m.Listed():
-                self.listed = True
                 self.addresses.update(value.addresses)
                 return ("listed", value.complete, value.rows)
             case m.ListFailed():
                 return ("list_failed",)
 
     def asked(self, a: m.Asked) -> tuple[object, ...] | None:
-        if a.trace in self.traces or a.client in self.clients:
+        if a.trace in self.traces:
             # A second copy of one id would be dispatched beside the first; nothing was sent for this one.
             self.effects.append(m.Answer(a.client, m.Kind.ABORTED))
             return None
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -47,7 +47,6 @@
         return ended or reader.came > self.taken
 
     async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
-        self.written = False
         self.writer.write(asking(self.http, request, body))
         await self.writer.drain()
         self.written = True
@@ -64,6 +63,7 @@
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE or self.dead():
             return False
         self.http.start_next_cycle()
+        self.written = False
         return not self.http.trailing_data[0]
 
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 import h11
 
@@ -106,6 +107,12 @@
         assert isinstance(effects[0], m.Log)
         self.assertIn("ZeroDivisionError: here", effects[0].fields["cause"])
 
+    def test_a_decider_that_fails_whatever_comes_in_does_not_stop_the_node(self) -> None:
+        with mock.patch.object(self.script, "round", side_effect=ZeroDivisionError):
+            self.assertEqual(self.kinds(self.step(self.asked())), ["Log"])
+            self.now += 900.0
+            self.assertEqual(self.kinds(self.step(m.Woken(0))), ["Log", "Log", "aborted"])
+
     def test_a_req_that_was_lost_sight_of_is_aborted_when_its_time_is_up(self) -> None:
         self.script.on["arrived"] = lambda *_: None
         self.step(self.asked())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -125,6 +125,12 @@
             self.assertIn(b"404", (await edge.ask(wire_req("other") + wire_req()))[0])
             self.assertEqual((await edge.answer())[1], b"hello")
 
+    async def test_a_heap_of_refused_reqs_is_answered_one_by_one(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            edge.writer.write(b"GET /x HTTP/1.1\r\nHost: b\r\n\r\n" * 1500)
+            for _ in range(1500):
+                self.assertIn(b"404", (await edge.answer())[0])
+
     async def test_beyond_its_room_the_node_lets_idle_connections_go_first(self) -> None:
         room = program.SPARE + 2
         async with AppServer() as server, Edge(server.address, limits={"sockets": room}) as edge:
