A client refused in the middle of its req is read on, so that it hears why

Seen by a story: 9 MB sent to a node that takes 64 KiB; the connection was closed with bytes unread, which resets it, and the client's write failed before it saw the 413 (Clients.reply). Leaving does not wait for such a client.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -27,6 +27,7 @@
         self.begun = False  # some of a req is here
         self.fresh = True  # nothing answered yet: its first req may be on its way
         self.beyond = False  # the node's room: its one req is read, denied, and the connection closed
+        self.rest = False  # of a req that was answered before it was whole: read and thrown away
         self.request: h11.Request | None = None
         self.body = bytearray()
 
@@ -62,6 +63,10 @@
             client.beyond = not self.room()
             while not writer.transport.is_closing():
                 data = await reader.read(READ)
+                if client.rest:
+                    if not data:
+                        return
+                    continue
                 if data and client.idle():
                     client.begun, client.since = True, self.clock()
                 if client.waits and len(client.http.trailing_data[0]) + len(data) > 2 * READ:
@@ -168,12 +173,20 @@
         if body and (client.request is None or client.request.method != b"HEAD"):
             data += http.send(h11.Data(data=body)) or b""
         client.writer.write(data + (http.send(h11.EndOfMessage()) or b""))
-        if http.our_state is h11.MUST_CLOSE or http.their_state is not h11.DONE:
+        if http.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            # Closed with bytes unread, the connection would be reset and the answer perhaps never seen.
+            client.rest = client.begun = True
+            client.writer.write_eof()
+        elif http.our_state is h11.MUST_CLOSE:
             client.writer.close()
         else:
             http.start_next_cycle()
             client.request = None
 
+    def incoming(self) -> bool:
+        """Is some req here in part?"""
+        return any(client.begun and not client.rest for client in self.open.values())
+
     def close_idle(self, most: int | None = None) -> int:
         """Close connections between reqs, those that have stood longest first. A req that crosses this on its
         way is sent once more by its client, but the first on a connection would be lost."""
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -93,7 +93,7 @@
         await asyncio.sleep(ACCEPT_ON)
         self.enter(Phase.CLOSING)
         self.clients.stop_listening()
-        while self.reducer.owed or any(c.begun for c in self.clients.open.values()):
+        while self.reducer.owed or self.clients.incoming():
             self.clients.close_idle()
             await asyncio.sleep(0.01)
         await self.clients.finish()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -125,6 +125,13 @@
             self.assertIn(b"404", (await edge.ask(wire_req("other") + wire_req()))[0])
             self.assertEqual((await edge.answer())[1], b"hello")
 
+    async def test_a_client_with_far_too_much_to_say_still_hears_why(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            edge.writer.write(wire_req(Content_Length="9000000") + b"x" * 9_000_000)
+            await edge.writer.drain()
+            self.assertIn(b"413", (await edge.answer())[0])
+            self.assertEqual(await asyncio.wait_for(edge.reader.read(), 5.0), b"")
+
     async def test_a_heap_of_refused_reqs_is_answered_one_by_one(self) -> None:
         async with AppServer() as server, Edge(server.address) as edge:
             edge.writer.write(b"GET /x HTTP/1.1\r\nHost: b\r\n\r\n" * 1500)
