A dispatch still connecting is not written once its req has its answer

Found by reading: where a deployment lets nothing be cancelled, a dispatch that still waited for its connection would have been written after its req's final answer (Servers.run); rule 1 forbids that. Now the reducer withdraws what is out of a req that has its answer; what is written already is left to the module, as before.

--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -102,6 +102,12 @@
     dispatch: int
 
 
+class Withdraw(NamedTuple):
+    """The req has its answer: what is not yet written to a server must not be any more."""
+
+    dispatch: int
+
+
 class Kind(Enum):
     PASSED = "passed"
     DENIED = "denied"
@@ -134,7 +140,7 @@
     fields: dict[str, Any]
 
 
-Outgoing = Send | Close | Answer | Tell | Wake | Watch | Log
+Outgoing = Send | Close | Withdraw | Answer | Tell | Wake | Watch | Log
 
 
 class Refusal(Exception):
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -52,6 +52,7 @@
         self.carry = {
             m.Send: self.servers.send,
             m.Close: lambda effect: self.servers.close(effect.dispatch),
+            m.Withdraw: lambda effect: self.servers.withdraw(effect.dispatch),
             m.Answer: self.clients.answer,
             m.Tell: self.peers.tell,
             m.Wake: self.wake,
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -105,8 +105,7 @@
                 held = self.clients.pop(client, None)
                 if held is None:
                     return None
-                held.answered = True
-                self.forget(held)
+                self.over(held)
                 return ("client_left", held.id)
             case m.Listed():
                 self.addresses.update(value.addresses)
@@ -139,10 +138,14 @@
 
     def answer(self, held: Held, answer: m.Answer) -> None:
         if not held.answered:
-            held.answered = True
             self.clients.pop(held.asked.client, None)
             self.effects.append(answer)
-            self.forget(held)
+            self.over(held)
+
+    def over(self, held: Held) -> None:
+        held.answered = True
+        self.effects += [m.Withdraw(d) for d in held.dispatches if held.out and d in self.dispatches]
+        self.forget(held)
 
     def forget(self, held: Held) -> None:
         if held.answered and not held.out:
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -76,6 +76,7 @@
         self.connect_timeout, self.kept = connect_timeout, KEPT * keep_alive
         self.idle: dict[m.Address, list[Link]] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
+        self.withdrawn: set[int] = set()
         self.links = 0  # open, idle ones too
 
     def send(self, send: m.Send) -> None:
@@ -86,16 +87,24 @@
         if task is not None and inspect.getcoroutinestate(cast(Any, task.get_coro())) == inspect.CORO_CREATED:
             # Cancelled before its first step it would never tell its end.
             del self.tasks[dispatch]
+            self.withdrawn.discard(dispatch)
             self.post(m.Ended(dispatch, Result.UNUSED, 0.0))
         if task is not None:
             task.cancel()
 
+    def withdraw(self, dispatch: int) -> None:
+        if dispatch in self.tasks:
+            self.withdrawn.add(dispatch)
+
     async def run(self, send: m.Send, began: float) -> None:
         link: Link | None = None
         result, page = Result.NO_CONNECTION, None
         try:
             async with asyncio.timeout(send.give_up_after / 1000.0):
                 link = self.pooled(send.address) or await self.connect(send.address)
+                if send.dispatch in self.withdrawn:
+                    result = Result.UNUSED
+                    return
                 left = send.give_up_after - (self.clock() - began)
                 result, page = await link.ask(*m.request(send.asked, left))
         except TimeoutError:
@@ -108,6 +117,7 @@
             result = Result.LOST if link is not None and link.written else Result.NO_CONNECTION
         finally:
             self.tasks.pop(send.dispatch, None)
+            self.withdrawn.discard(send.dispatch)
             if link is not None:
                 self.done_with(link, page is not None or result in (Result.ERROR, Result.FULL))
             self.post(m.Ended(send.dispatch, result, self.clock() - began, page))
