A chunked req far too long is read on as well; the project's words throughout

Seen: after a 413 to a chunked req the next chunk in the buffer was refused again, and the connection cut (Clients.take). The story now sends both kinds; it fails without the fix.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -99,17 +99,17 @@
 
     def take(self, client: Client) -> None:
         """What has come in, as far as it goes."""
-        refused = True
-        while refused and not client.writer.transport.is_closing():
-            refused = False
+        turned_away = True
+        while turned_away and not client.writer.transport.is_closing():
+            turned_away = False
             try:
                 self.events(client, client.http)
             except h11.RemoteProtocolError as err:
                 self.reply(client, max(400, err.error_status_hint), [], str(err).encode()[:200], close=True)
-            except m.Refusal as err:
-                refused = True  # others may have come behind it
+            except m.NotTaken as err:
                 cut = client.http.their_state is not h11.DONE
                 self.reply(client, err.status, [], str(err).encode(), close=cut)
+                turned_away = not cut  # others may have come behind it
 
     def events(self, client: Client, http: h11.Connection) -> None:
         while not client.waits and (event := http.next_event()) is not h11.NEED_DATA:
@@ -120,7 +120,7 @@
                 case h11.Data(data=data):
                     client.body += data
                     if len(client.body) > m.BODY_MOST:
-                        raise m.Refusal(413, "body over 64 KiB")
+                        raise m.NotTaken(413, "body over 64 KiB")
                 case h11.EndOfMessage():
                     self.whole(client)
                 case _:
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -45,7 +45,7 @@
         try:
             http = h11.Connection(h11.CLIENT)
             while http.our_state is h11.IDLE:
-                writer.write(asking(http, self.request()))
+                writer.write(asking(http, self.watch_req()))
                 async with asyncio.timeout((WAIT + GRACE) / 1000.0):
                     response, text = await answered(http, partial(reader.read, READ), LIST_MOST)
                 if response.status_code != 200:
@@ -62,6 +62,6 @@
         finally:
             writer.transport.abort()
 
-    def request(self) -> h11.Request:
+    def watch_req(self) -> h11.Request:
         target = f"/v1/servers?since={self.generation}&timeout_ms={WAIT}"
         return h11.Request(method="GET", target=target, headers=[("Host", "{}:{}".format(*self.address))])
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -143,7 +143,7 @@
 Outgoing = Send | Close | Withdraw | Answer | Tell | Wake | Watch | Log
 
 
-class Refusal(Exception):
+class NotTaken(Exception):
     """A req that cannot be taken: nothing of it is sent on."""
 
     def __init__(self, status: int, why: str) -> None:
@@ -161,7 +161,7 @@
     path = target.split(b"?", 1)[0]
     frontend = next((f for f in known.frontends if path.split(b"/", 2)[1:2] == [f.name.encode()]), None)
     if frontend is None:
-        raise Refusal(404, "unknown frontend")
+        raise NotTaken(404, "unknown frontend")
     try:
         trace = named[b"x-trace-id"].decode("ascii")
         plan = named[b"plan"].decode("ascii")
@@ -170,17 +170,17 @@
         units, spread, first = (int(quota[name]) for name in (b"units", b"spread", b"first"))
         patience = _span(named[b"x-expires-in"]) if b"x-expires-in" in named else frontend.client_timeout
     except KeyError as err:
-        raise Refusal(400, f"missing {str(err)[:40]}") from err
+        raise NotTaken(400, f"missing {str(err)[:40]}") from err
     except (ValueError, UnicodeDecodeError) as err:
-        raise Refusal(400, f"malformed header: {str(err)[:60]}") from err
+        raise NotTaken(400, f"malformed header: {str(err)[:60]}") from err
     if not trace or not 0 <= customer < 2**64 or not patience > 0.0:
-        raise Refusal(400, "malformed header")
+        raise NotTaken(400, "malformed header")
     if units < 0 or spread < 1 or first < 0:
-        raise Refusal(400, "malformed quota-info")
+        raise NotTaken(400, "malformed quota-info")
     if not any(p.name == plan for p in known.plans):
-        raise Refusal(400, "unknown plan")
+        raise NotTaken(400, "unknown plan")
     if frontend.effect is Effect.UNIQUED and not named.get(b"idempotency-key"):
-        raise Refusal(400, "missing idempotency-key")
+        raise NotTaken(400, "missing idempotency-key")
     return Asked(
         client, at, trace, request.method, target, headers, body, frontend.name,
         f"{customer:x}", plan, units, spread, first, min(patience, frontend.client_timeout),
@@ -216,7 +216,7 @@
 # To and from app servers
 
 
-def request(a: Asked, left: float) -> tuple[h11.Request, bytes]:
+def onward(a: Asked, left: float) -> tuple[h11.Request, bytes]:
     headers = [h for h in a.headers if h[0] not in KEPT_FROM_SERVERS]
     headers.append((b"X-Expires-In", b"%du" % max(1, round(left * 1000.0))))
     if a.body or a.method != b"GET":
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -106,7 +106,7 @@
                     result = Result.UNUSED
                     return
                 left = send.give_up_after - (self.clock() - began)
-                result, page = await link.ask(*m.request(send.asked, left))
+                result, page = await link.ask(*m.onward(send.asked, left))
         except TimeoutError:
             result = Result.EXPIRED if link is not None and link.written else Result.NO_CONNECTION
         except asyncio.CancelledError:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -144,22 +144,22 @@
                          ("check", "b4d65521", "basic", 2, 3, 1, 480.0))  # fmt: skip
         self.assertEqual(self.asked(("x-expires-in", "480500u")).patience, 480.5)
 
-    def test_what_cannot_be_read_is_refused(self) -> None:
+    def test_what_cannot_be_read_is_not_taken(self) -> None:
         for name, value in (
             ("x-trace-id", ""), ("plan", "gold"), ("cookie", "key=xyz"), ("cookie", "a=1"),
             ("x-expires-in", "480s"), ("x-expires-in", "-1m"), ("x-expires-in", "nanm"),
             ("quota-info", "units=2"), ("quota-info", "units=a,spread=1,first=0"),
         ):  # fmt: skip
-            with self.subTest(name=name, value=value), self.assertRaises(m.Refusal) as caught:
+            with self.subTest(name=name, value=value), self.assertRaises(m.NotTaken) as caught:
                 self.asked((name, value))
             self.assertEqual(caught.exception.status, 400)
         for target, status in (("/other/7", 404), ("/", 404), ("/toll", 400)):  # a toll has no key
-            with self.subTest(target=target), self.assertRaises(m.Refusal) as caught:
+            with self.subTest(target=target), self.assertRaises(m.NotTaken) as caught:
                 self.asked(target=target)
             self.assertEqual(caught.exception.status, status)
 
     def test_what_is_sent_on_keeps_the_req_and_tells_how_long_this_node_waits(self) -> None:
-        request, _ = m.request(self.asked(("idempotency-key", "k")), 250.5)
+        request, _ = m.onward(self.asked(("idempotency-key", "k")), 250.5)
         named = dict(request.headers)
         self.assertEqual((request.method, request.target), (b"GET", b"/check/7?a=b"))
         self.assertEqual((named[b"x-trace-id"], named[b"idempotency-key"]), (b"t", b"k"))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -128,19 +128,25 @@
             self.assertIn(b"413", (await edge.ask(long))[0])
             self.assertEqual(server.got, [])
 
-    async def test_a_req_that_came_behind_a_refused_one_is_answered_too(self) -> None:
+    async def test_a_req_that_came_behind_one_not_taken_is_answered_too(self) -> None:
         async with AppServer() as server, Edge(server.address) as edge:
             self.assertIn(b"404", (await edge.ask(wire_req("other") + wire_req()))[0])
             self.assertEqual((await edge.answer())[1], b"hello")
 
     async def test_a_client_with_far_too_much_to_say_still_hears_why(self) -> None:
         async with AppServer() as server, Edge(server.address) as edge:
-            edge.writer.write(wire_req(Content_Length="9000000") + b"x" * 9_000_000)
-            await edge.writer.drain()
-            self.assertIn(b"413", (await edge.answer())[0])
-            self.assertEqual(await asyncio.wait_for(edge.reader.read(), 5.0), b"")
-
-    async def test_a_heap_of_refused_reqs_is_answered_one_by_one(self) -> None:
+            for head, body in (
+                (wire_req(Content_Length="9000000"), b"x" * 9_000_000),
+                (wire_req(Transfer_Encoding="chunked"), (b"9000\r\n" + b"x" * 0x9000 + b"\r\n") * 200),
+            ):
+                reader, writer = await asyncio.open_connection(*edge.address)
+                writer.write(head + body)
+                await writer.drain()
+                text = await asyncio.wait_for(reader.read(), 5.0)
+                writer.close()
+                self.assertEqual((text[9:12], text.count(b"HTTP/1.1")), (b"413", 1))
+
+    async def test_a_heap_of_reqs_not_taken_is_answered_one_by_one(self) -> None:
         async with AppServer() as server, Edge(server.address) as edge:
             edge.writer.write(b"GET /x HTTP/1.1\r\nHost: b\r\n\r\n" * 1500)
             for _ in range(1500):
