Twins in the network code folded: messages, connection reuse, fault text, rounds

From one more reading of the whole change. Behaviour is as it was, and no story was touched: - clients wrote a message in the same three steps that servers and discovery shared (exchange.message now serves all); - may a connection be used again, and an idle one still: each stood twice (exchange.again, Servers.usable); going through idle connections no longer searches a list for each; - the text of a fault was put together in the program and in the reducer (messages.fault); - a round was asked for in two places (Program.ask_for_round); - a dispatch never sent was entered as out only to be taken off again through its own end (Reducer.dispatch); - a req's path was split again for each frontend.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -9,11 +9,11 @@
 
 from onyxpost.deployment import Deployment
 from onyxpost.edge import messages as m
+from onyxpost.edge.exchange import READ, message
 
 IDLE = 75_000.0  # ms that a connection may stand between reqs
 LINGER = 2_000.0  # ms for the last answer to be taken before the connection is cut
 SLOW = 15_000.0  # ms in which a req that has begun must be whole
-READ = 65536
 
 
 class Client:
@@ -169,10 +169,9 @@
         headers.append((b"Content-Length", b"%d" % len(body)))
         if close or self.leaving:
             headers.append((b"Connection", b"close"))
-        data = http.send(h11.Response(status_code=status, headers=headers)) or b""
-        if body and (client.request is None or client.request.method != b"HEAD"):
-            data += http.send(h11.Data(data=body)) or b""
-        client.writer.write(data + (http.send(h11.EndOfMessage()) or b""))
+        head_only = client.request is not None and client.request.method == b"HEAD"
+        response = h11.Response(status_code=status, headers=headers)
+        client.writer.write(message(http, response, b"" if head_only else body))
         if http.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
             # Closed with bytes unread, the connection would be reset and the answer perhaps never seen.
             client.rest = client.begun = True
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -10,13 +10,12 @@
 
 from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
-from onyxpost.edge.exchange import answered, asking
+from onyxpost.edge.exchange import READ, again, answered, message
 
 WAIT = 5000  # ms that one watch may wait
 GRACE = 1000.0  # ms past that wait in which a live agent answers
 AGAIN = 100.0  # ms before the next try: within the 200 ms that keep a watch
 LIST_MOST = 8 * 1024 * 1024
-READ = 65536
 
 
 class Discovery:
@@ -44,8 +43,9 @@
             reader, writer = await asyncio.open_connection(*self.address, limit=READ)
         try:
             http = h11.Connection(h11.CLIENT)
-            while http.our_state is h11.IDLE:
-                writer.write(asking(http, self.watch_req()))
+            watching = True
+            while watching:
+                writer.write(message(http, self.watch_req()))
                 async with asyncio.timeout((WAIT + GRACE) / 1000.0):
                     response, text = await answered(http, partial(reader.read, READ), LIST_MOST)
                 if response.status_code != 200:
@@ -57,8 +57,7 @@
                 self.generation = listed.generation
                 if listed.rows or listed.complete:
                     self.post(listed)
-                if http.our_state is h11.DONE and http.their_state is h11.DONE:
-                    http.start_next_cycle()
+                watching = again(http)
         finally:
             writer.transport.abort()
 
--- a/onyxpost/edge/exchange.py
+++ b/onyxpost/edge/exchange.py
@@ -1,4 +1,4 @@
-"""One HTTP exchange as the asking side sees it: the bytes of a req, and one whole answer. No I/O itself."""
+"""What all HTTP sides share: the bytes of a message, one whole answer, the next cycle. No I/O itself."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 
 import h11
 
+READ = 65536  # bytes asked of a stream at once
+
 Read = Callable[[], Awaitable[bytes]]
 
 
@@ -13,8 +15,8 @@
     """The connection ended before a whole answer had come, or nothing tells where the answer ends."""
 
 
-def asking(http: h11.Connection, request: h11.Request, body: bytes = b"") -> bytes:
-    data = http.send(request) or b""
+def message(http: h11.Connection, head: h11.Request | h11.Response, body: bytes = b"") -> bytes:
+    data = http.send(head) or b""
     if body:
         data += http.send(h11.Data(data=body)) or b""
     return data + (http.send(h11.EndOfMessage()) or b"")
@@ -42,6 +44,14 @@
             raise Cut("connection ended")
 
 
+def again(http: h11.Connection) -> bool:
+    """Make ready for the next exchange, if both sides are done with this one and none wants to close."""
+    if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+        return False
+    http.start_next_cycle()
+    return True
+
+
 def _framed(response: h11.Response | None) -> bool:
     """Is there a word on where the body ends? Else its end cannot be told from a cut."""
     return response is not None and any(
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -140,6 +141,11 @@
     fields: dict[str, Any]
 
 
+def fault(where: str, err: BaseException | None) -> Log:
+    cause = "".join(traceback.format_exception(err)) if err is not None else ""
+    return Log("fault", {"at": where, "cause": cause[-4000:]})
+
+
 Outgoing = Send | Close | Withdraw | Answer | Tell | Wake | Watch | Log
 
 
@@ -158,8 +164,8 @@
     headers: Headers = list(request.headers)
     named = dict(headers)
     target = request.target
-    path = target.split(b"?", 1)[0]
-    frontend = next((f for f in known.frontends if path.split(b"/", 2)[1:2] == [f.name.encode()]), None)
+    first_part = target.split(b"?", 1)[0].split(b"/", 2)[1:2]
+    frontend = next((f for f in known.frontends if first_part == [f.name.encode()]), None)
     if frontend is None:
         raise NotTaken(404, "unknown frontend")
     try:
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -6,7 +6,6 @@
 import gc
 import signal
 import time
-import traceback
 from enum import Enum
 from typing import Any
 
@@ -117,6 +116,9 @@
     def post(self, value: m.Incoming) -> None:
         """All that comes in by the next turn of the loop is one round's."""
         self.inbox.append(value)
+        self.ask_for_round()
+
+    def ask_for_round(self) -> None:
         if not self.round_due:
             self.round_due = True
             asyncio.get_running_loop().call_soon(self.round)
@@ -128,9 +130,8 @@
                 self.carry[type(effect)](effect)
             except Exception as err:
                 self.fault(f"carrying out {type(effect).__name__}", err)
-        if self.reducer.later and not self.round_due:
-            self.round_due = True
-            asyncio.get_running_loop().call_soon(self.round)
+        if self.reducer.later:
+            self.ask_for_round()
 
     def wake(self, wake: m.Wake) -> None:
         loop = asyncio.get_running_loop()
@@ -164,8 +165,7 @@
         self.lines.write(self.now(), log.event, log.fields)
 
     def fault(self, where: str, err: BaseException | None) -> None:
-        cause = "".join(traceback.format_exception(err)) if err is not None else ""
-        self.log(m.Log("fault", {"at": where, "cause": cause[-4000:]}))
+        self.log(m.fault(where, err))
 
     def loop_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         self.fault(str(context.get("message")), context.get("exception"))
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import traceback
 from collections.abc import Iterator, Sequence
 
 from onyxpost.deployment import Deployment
@@ -67,8 +66,7 @@
         try:
             self.decider.round(self.now, one_by_one(), self)
         except Exception as err:
-            cause = "".join(traceback.format_exception(err))
-            self.effects.append(m.Log("fault", {"at": str(current[:1]), "cause": cause[-4000:]}))
+            self.effects.append(m.fault(str(current[:1]), err))
             of_a_req = current[:1] in (("arrived",), ("dispatch_ended",))
             held = self.held.get(str(current[1])) if of_a_req else None
             if held is not None and not held.out:
@@ -157,13 +155,14 @@
     def dispatch(self, req: str, server: str, give_up_after: float) -> None:
         self.sent += 1
         held = self.held[req]
-        self.dispatches[self.sent] = held, len(held.dispatches)
+        number = len(held.dispatches)
         held.dispatches.append(self.sent)
-        held.out += 1
         until = min(give_up_after, held.leaves - self.now)
         if held.answered or until <= 0.0:
-            self.later.append(self.ended(m.Ended(self.sent, Result.UNUSED, 0.0)) or ())
+            self.later.append(("dispatch_ended", req, number, Result.UNUSED, 0.0, held.answered, 0))
             return
+        self.dispatches[self.sent] = held, number
+        held.out += 1
         self.effects.append(m.Send(self.sent, self.addresses[server], held.asked, until))
 
     def deny(self, req: str, retry_after: float) -> None:
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -10,11 +10,10 @@
 import h11
 
 from onyxpost.edge import messages as m
-from onyxpost.edge.exchange import answered, asking
+from onyxpost.edge.exchange import READ, again, answered, message
 from onyxpost.interface import Result
 
 KEPT = 0.75  # share of the servers' keep-alive after which an idle connection is retired
-READ = 65536
 
 
 class Reader(asyncio.StreamReader):
@@ -47,7 +46,7 @@
         return ended or reader.came > self.taken
 
     async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
-        self.writer.write(asking(self.http, request, body))
+        self.writer.write(message(self.http, request, body))
         await self.writer.drain()
         self.written = True
         response, page = await answered(self.http, self.read, m.BODY_MOST)
@@ -60,11 +59,8 @@
         return data
 
     def reusable(self) -> bool:
-        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE or self.dead():
-            return False
-        self.http.start_next_cycle()
         self.written = False
-        return not self.http.trailing_data[0]
+        return not self.dead() and again(self.http) and not self.http.trailing_data[0]
 
 
 class Servers:
@@ -143,12 +139,15 @@
         transport, _ = await loop.create_connection(lambda: protocol, *address)
         return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
+    def usable(self, link: Link) -> bool:
+        return not link.dead() and self.clock() - link.since < self.kept
+
     def pooled(self, address: m.Address) -> Link | None:
         """The one last used: the others may then be retired."""
         links = self.idle.get(address, [])
         while links:
             link = links.pop()
-            if not link.dead() and self.clock() - link.since < self.kept:
+            if self.usable(link):
                 return link
             self.shut(link)
         return None
@@ -166,11 +165,12 @@
 
     def sweep(self) -> None:
         """Retire those idle for long or closed by the server."""
-        now = self.clock()
         for address, links in list(self.idle.items()):
-            kept = [link for link in links if not link.dead() and now - link.since < self.kept]
+            kept = []
             for link in links:
-                if link not in kept:
+                if self.usable(link):
+                    kept.append(link)
+                else:
                     self.shut(link)
             self.idle[address] = kept
             if not kept:
