Settings that no module can be made of are told in one line again

Seen: a file without frontends passed `check`, and `serve` ended in a traceback; on the simulator's wire the same settings, once told as a malformed line, came out as a fault of the module. At fault: when the decoding moved to onyxpost/deployment.py, the making of the module fell outside of what is guarded there. Now the decoding itself says no to no frontends, and to a node's number outside of its tier.

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -50,6 +50,8 @@
 
 def _decode(params: Fields) -> Deployment:
     bounds, family, rules = params["bounds"], params.get("family_info", {}), params["rules"]
+    if not params["grades"] or not 0 <= params["ordinal"] < params["n_instances"]:
+        raise ValueError("no grades, or an ordinal outside of n_instances")
     grace = rules.get("drain_grace_us", 250_000)
     return Deployment(
         number=params["ordinal"],
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -8,8 +8,11 @@
 
 from onyxpost import deployment
 from onyxpost.edge import messages as m
+from onyxpost.edge import node
 from onyxpost.edge.reducer import Reducer
 from onyxpost.interface import Result
+from onyxpost.simhost.host import Host as SimHost
+from onyxpost.simhost.host import WireError
 from tests.host import ASKED, SETTINGS, node_fields
 
 KNOWN = deployment.decode(SETTINGS)
@@ -178,3 +181,13 @@
         for data, number in ((b"ok", None), (b"\xff", 1), (b"", 1), (b"x" * 257, 1)):
             self.assertIsNone(m.peer_told(data, number))
         self.assertEqual(m.peer_told(b"ok", 1), m.PeerTold(1, "ok"))
+
+
+class Told(unittest.TestCase):
+    def test_settings_that_no_module_can_be_made_of_are_told_in_one_line(self) -> None:
+        for wrong in ({"grades": []}, {"n_instances": 0}, {"ordinal": 2}, {"rules": None}):
+            with self.subTest(wrong=wrong), self.assertRaises(deployment.Unreadable):
+                node.decode(node_fields(settings=SETTINGS | wrong))
+        attach = {"Attach": {"node_id": 0, "init_seed": 3, "params": SETTINGS | {"grades": []}}}
+        with self.assertRaises(WireError):
+            SimHost().batch({"at_time_us": 1, "news": [attach]})
