SIGHUP reads the node's file again and moves the watch to its discovery

At fault: Program.run took only SIGTERM and SIGINT, and Discovery.watch was bound to the address of the start.

Ruled out: the loop's own signal handlers, which go with the loop before the process ends.

The file is read whole first; a bad one is logged and the old kept. The new address is asked for the whole list, and the old watch ends only when that has come.

--- a/onyxpost/cli.py
+++ b/onyxpost/cli.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import sys
+from functools import partial
 
 from onyxpost import __version__
 from onyxpost.deployment import Unreadable
@@ -35,7 +36,7 @@
         print(f"{told.name}: {len(told.known.rows)} servers, {len(told.deployment.frontends)} frontends")
         return 0
     try:
-        return asyncio.run(Program(told, Lines(told.name)).run())
+        return asyncio.run(Program(told, Lines(told.name), partial(node.read, os.environ, again=True)).run())
     except OSError as err:  # an address that cannot be had
         print(f"onyxpost: {err}", file=sys.stderr)
         return 1
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from functools import partial
 
 import h11
@@ -25,42 +25,71 @@
     ) -> None:  # fmt: skip
         self.address, self.generation, self.post, self.log = address, generation, post, log
         self.down = False
+        self.watches: list[asyncio.Task[None]] = []  # after a move, those that the next one is to replace too
 
-    async def watch(self) -> None:
+    def begin(self) -> None:
+        if not self.watches:
+            self.watch_at(self.address)
+
+    def move(self, address: m.Address) -> None:
+        """The old watch goes on until the new address has told its list, so nothing is missed between."""
+        if address != self.address and self.watches:
+            self.watch_at(address, moved=True)
+        self.address = address
+
+    def watch_at(self, address: m.Address, moved: bool = False) -> None:
+        self.watches.append(asyncio.get_running_loop().create_task(self.watch(address, moved)))
+
+    def close(self) -> None:
+        for watch in self.watches:
+            watch.cancel()
+
+    async def watch(self, address: m.Address, moved: bool = False) -> None:
         while True:
             try:
-                await self.watch_on_one()
+                async for listed in self.watch_on_one(address, moved):
+                    self.told(listed, moved)
+                    moved = False
             except (OSError, h11.ProtocolError, Unreadable) as err:
-                if not self.down:
+                if not self.down and address == self.address:
                     self.down = True
                     self.log(m.Log("discovery down", {"cause": f"{type(err).__name__}: {err}"[:200]}))
                     self.post(m.ListFailed())
                 await asyncio.sleep(AGAIN / 1000.0)
 
-    async def watch_on_one(self) -> None:
-        """Watch after watch on one connection, until it fails."""
+    def told(self, listed: m.Listed, moved: bool) -> None:
+        own = self.watches.index(asyncio.current_task())  # type: ignore[arg-type]
+        for old in self.watches[:own]:
+            old.cancel()
+        del self.watches[:own]
+        if self.down:
+            self.down = False
+            self.log(m.Log("discovery up", {"generation": listed.generation}))
+        if moved:
+            self.log(m.Log("discovery moved", {"generation": listed.generation, "held": self.generation}))
+            if listed.generation < self.generation:
+                return  # older than what is held: what is newer still comes
+        self.generation = listed.generation
+        if listed.rows or listed.complete:
+            self.post(listed)
+
+    async def watch_on_one(self, address: m.Address, whole: bool) -> AsyncIterator[m.Listed]:
+        """Watch after watch on one connection, until it fails; `whole`: the first asks for the whole list."""
         async with asyncio.timeout(GRACE / 1000.0):
-            reader, writer = await asyncio.open_connection(*self.address, limit=READ)
+            reader, writer = await asyncio.open_connection(*address, limit=READ)
         try:
             http = h11.Connection(h11.CLIENT)
             watching = True
             while watching:
-                writer.write(message(http, self.watch_req()))
-                async with asyncio.timeout((WAIT + GRACE) / 1000.0):
+                target = "/v1/servers" if whole else f"/v1/servers?since={self.generation}&timeout_ms={WAIT}"
+                host = [("Host", "{}:{}".format(*address))]
+                writer.write(message(http, h11.Request(method="GET", target=target, headers=host)))
+                async with asyncio.timeout((GRACE if whole else WAIT + GRACE) / 1000.0):
                     response, text = await answered(http, partial(reader.read, READ), LIST_MOST)
                 if response.status_code != 200:
                     raise Unreadable(f"status {response.status_code}")
-                listed = m.listed(text)
-                if self.down:
-                    self.down = False
-                    self.log(m.Log("discovery up", {"generation": listed.generation}))
-                self.generation = listed.generation
-                if listed.rows or listed.complete:
-                    self.post(listed)
+                whole = False
+                yield m.listed(text)
                 watching = again(http)
         finally:
             writer.transport.abort()
-
-    def watch_req(self) -> h11.Request:
-        target = f"/v1/servers?since={self.generation}&timeout_ms={WAIT}"
-        return h11.Request(method="GET", target=target, headers=[("Host", "{}:{}".format(*self.address))])
--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -26,8 +26,9 @@
     deployment: Deployment
 
 
-def read(environ: Mapping[str, str]) -> Node:
-    """The file that `EDGE_CONFIG` names; the other variables come before what it says."""
+def read(environ: Mapping[str, str], again: bool = False) -> Node:
+    """The file that `EDGE_CONFIG` names; the other variables come before what it says, but read again, it is
+    newer than they are."""
     path = environ.get("EDGE_CONFIG")
     if not path:
         raise Unreadable("EDGE_CONFIG is not set")
@@ -41,7 +42,7 @@
     if not isinstance(fields, dict):
         raise Unreadable(f"{path}: not an object")
     for variable, name in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
-        if environ.get(variable):
+        if environ.get(variable) and not (again and name in fields):
             fields[name] = environ[variable]
     try:
         return decode(fields)
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -6,9 +6,12 @@
 import gc
 import signal
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from typing import Any
 
+from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
 from onyxpost.edge.clients import Clients
 from onyxpost.edge.discovery import Discovery
@@ -32,8 +35,8 @@
 
 
 class Program:
-    def __init__(self, node: Node, lines: Lines) -> None:
-        self.node, self.lines = node, lines
+    def __init__(self, node: Node, lines: Lines, reread: Callable[[], Node]) -> None:
+        self.node, self.lines, self.reread = node, lines, reread
         self.phase = Phase.STARTING
         self.begun = time.time() * 1000.0 - time.monotonic() * 1000.0
         self.inbox: list[m.Incoming] = []
@@ -47,7 +50,6 @@
         )  # fmt: skip
         self.discovery = Discovery(node.discovery, node.known.generation, self.post, self.log)
         self.peers = Peers(node.peers, deployment.number, self.post)
-        self.watching: asyncio.Task[None] | None = None
         self.carry = {
             m.Send: self.servers.send,
             m.Close: lambda effect: self.servers.close(effect.dispatch),
@@ -55,7 +57,7 @@
             m.Answer: self.clients.answer,
             m.Tell: self.peers.tell,
             m.Wake: self.wake,
-            m.Watch: lambda effect: self.watch(),
+            m.Watch: lambda effect: self.discovery.begin(),
             m.Log: self.log,
         }
 
@@ -75,12 +77,14 @@
         told_to_stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, told_to_stop.set)
+        # Not the loop's: with the loop it would end, and SIGHUP then ends a process that is just leaving.
+        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
         if self.node.peer_listen is not None:
             await self.peers.listen(self.node.peer_listen)
         self.inbox.append(self.node.known)
         self.round()
         if not self.node.deployment.must_ask:
-            self.watch()
+            self.discovery.begin()
         await self.clients.listen(self.node.listen)
         self.sweep()
         gc.collect()
@@ -97,6 +101,7 @@
             self.clients.close_idle()
             await asyncio.sleep(0.01)
         await self.clients.finish()
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self.shut()
         self.enter(Phase.STOPPED)
         return 0
@@ -105,8 +110,20 @@
         self.clients.stop_listening()
         self.servers.finish()
         self.peers.close()
-        if self.watching is not None:
-            self.watching.cancel()
+        self.discovery.close()
+
+    def reload(self) -> None:
+        """The file is read whole before any of it takes effect; one that cannot be used changes nothing."""
+        try:
+            told = self.reread()
+        except Unreadable as err:
+            self.log(m.Log("reload refused", {"cause": str(err)[:200]}))
+            return
+        later = ("name", "listen", "peer_listen", "peers", "deployment")
+        changed = [name for name in later if getattr(told, name) != getattr(self.node, name)]
+        self.node = replace(self.node, discovery=told.discovery, descriptors=told.descriptors)
+        self.discovery.move(told.discovery)
+        self.log(m.Log("reloaded", {"discovery": "{}:{}".format(*told.discovery), "after restart": changed}))
 
     def ready(self) -> bool:
         return self.phase is Phase.SERVING
@@ -137,10 +154,6 @@
         loop = asyncio.get_running_loop()
         loop.call_later(wake.after / 1000.0, self.post, m.Woken(wake.token))
 
-    def watch(self) -> None:
-        if self.watching is None:
-            self.watching = asyncio.get_running_loop().create_task(self.discovery.watch())
-
     # Descriptors
 
     def held_open(self) -> int:
--- a/tests/host.py
+++ b/tests/host.py
@@ -170,7 +170,9 @@
 
     def __init__(self, *servers: tuple[str, int], **more: Any) -> None:
         self.out = io.BytesIO()
-        self.program = Program(node.decode(node_fields(*servers, **more)), Lines("n0", self.out))
+        self.file: dict[str, Any] | None = None  # what it finds when told to read its file again
+        told = node.decode(node_fields(*servers, **more))
+        self.program = Program(told, Lines("n0", self.out), lambda: node.decode(self.file or {}))
 
     async def __aenter__(self) -> Edge:
         self.running = asyncio.get_running_loop().create_task(self.program.run())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -13,7 +13,7 @@
 from onyxpost.edge.peers import Peers
 from onyxpost.edge.servers import Servers
 from onyxpost.interface import Result, Standing
-from tests.host import ASKED, PAGE, AppServer, Edge, wire_req
+from tests.host import ASKED, PAGE, AppServer, Edge, node_fields, wire_req
 
 
 class Neighbours(unittest.IsolatedAsyncioTestCase):
@@ -214,12 +214,12 @@
         heard: list[m.Incoming] = []
         events: list[str] = []
         discovery = Discovery(agent.address, 4, heard.append, lambda log: events.append(log.event))
-        watching = asyncio.get_running_loop().create_task(discovery.watch())
+        discovery.begin()
         async with asyncio.timeout(5.0):
             while len(agent.got) < until:
                 await asyncio.sleep(0.001)
-        watching.cancel()
-        await asyncio.gather(watching, return_exceptions=True)
+        discovery.close()
+        await asyncio.gather(*discovery.watches, return_exceptions=True)
         return heard, events
 
     async def test_each_watch_goes_on_from_what_the_last_one_told(self) -> None:
@@ -230,6 +230,29 @@
         self.assertEqual((heard[0].rows[0].standing, heard[0].complete), (Standing.DRAINING, False))
         self.assertEqual((len(heard), events, agent.opened), (1, [], 1))
 
+    async def test_on_sighup_the_watch_moves_once_the_new_agent_has_told_its_list(self) -> None:
+        async with AppServer(None) as server, AppServer(None) as old, AppServer(None, (b"", True)) as new:
+            async with Edge(server.address, discovery="{}:{}".format(*old.address)) as edge:
+                edge.writer.write(wire_req(X_Expires_In="900m"))
+                while not (server.got and old.got):
+                    await asyncio.sleep(0.001)
+                signal.raise_signal(signal.SIGHUP)  # a file that cannot be used
+                while b"reload refused" not in edge.out.getvalue():
+                    await asyncio.sleep(0.001)
+                edge.file = node_fields(server.address, discovery="{}:{}".format(*new.address))
+                signal.raise_signal(signal.SIGHUP)
+                while not new.got:
+                    await asyncio.sleep(0.001)
+                self.assertIn(b"GET /v1/servers HTTP", new.got[0])
+                self.assertEqual([watch.cancelled() for watch in edge.program.discovery.watches], [False] * 2)
+                new.says = [(self.told(6, "up"), False), None]
+                self.assertIn((await edge.answer())[0].split(b" ")[1], (b"429", b"502"))  # held throughout
+                async with asyncio.timeout(5.0):
+                    while b"since=6" not in new.got[-1]:
+                        await asyncio.sleep(0.001)
+                self.assertEqual(len(edge.program.discovery.watches), 1)
+                self.assertEqual((len(old.got), edge.running.done()), (1, False))
+
     async def test_an_agent_that_talks_nonsense_or_falls_silent_is_asked_again(self) -> None:
         nonsense = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"
         with mock.patch.multiple("onyxpost.edge.discovery", WAIT=300, GRACE=100.0):
