Clients are bounded and judged at the head; two lengths hide no req any more

Servers.connect found no room, as clients held all (Program.client_room let them, IDLE was 75 s). - rude: `duplicate` 59 times: h11 lets Transfer-Encoding override Content-Length, and Clients.events passed such a req on, with another inside its body; int() read `1_0` and signs, ranges were unknown. - SLOW was 15 s where an error or a close is owed within 3 s.

Checked: a req is now refused before its body (300 reqs sent ahead, both lengths, 9 MB, silent and endless heads: stories on loopback, each seen to fail on the former clients.py).

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -32,6 +32,7 @@
     must_ask: bool
     connect_timeout: float
     keep_alive: float
+    units_most: int  # that one req may take; 0: nothing is said
 
     def gateway(self, now: float, seed: int) -> Gateway:
         return Gateway(
@@ -77,6 +78,7 @@
         # One dispatch may wait for its connection no longer than a drain's grace: it could begin past it.
         connect_timeout=min(bounds.get("connect_timeout_us", grace), grace) / 1000.0,
         keep_alive=bounds.get("keepalive_us", 0) / 1000.0,
+        units_most=family.get("most_units", 0),
     )
 
 
--- a/onyxpost/edge/exchange.py
+++ b/onyxpost/edge/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -15,6 +16,11 @@
     """The connection ended before a whole answer had come, or nothing tells where the answer ends."""
 
 
+def lean(writer: asyncio.StreamWriter, most: int) -> None:
+    """asyncio asks for 256 KiB at a time, whatever the stream's limit."""
+    writer.transport.max_size = most  # type: ignore[attr-defined]
+
+
 def message(http: h11.Connection, head: h11.Request | h11.Response, body: bytes = b"") -> bytes:
     data = http.send(head) or b""
     if body:
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import traceback
 from enum import Enum
 from typing import Any, NamedTuple
@@ -21,6 +22,9 @@
 HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade"}
 KEPT_FROM_SERVERS = HOP | {b"content-length", b"expect", b"cookie", b"plan", b"quota-info", b"x-expires-in"}
 KEPT_FROM_CLIENTS = HOP | {b"content-length", b"x-never-ran", b"endpoint-load-metrics"}
+READ_ONCE = (b"x-trace-id", b"plan", b"cookie", b"x-expires-in", b"quota-info", b"idempotency-key")
+KEY = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # a customer: 16 digits, a number below 2^33
+SPAN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")  # a time and its unit
 STANDINGS = {"up": Standing.READY, "draining": Standing.DRAINING, "removed": Standing.GONE}
 
 Address = tuple[str, int]
@@ -152,44 +156,56 @@
 class NotTaken(Exception):
     """A req that cannot be taken: nothing of it is sent on."""
 
-    def __init__(self, status: int, why: str) -> None:
+    def __init__(self, status: int, why: str, cut: bool = False) -> None:
         super().__init__(why)
-        self.status = status
+        self.status, self.cut = status, cut  # cut: what follows cannot be told from it
 
 
 # From and to clients
 
 
-def asked(client: int, at: float, request: h11.Request, body: bytes, known: Deployment) -> Asked:
+def asked(client: int, at: float, request: h11.Request, known: Deployment) -> Asked:
+    """What a req's head says; its body is still to come."""
     headers: Headers = list(request.headers)
     named = dict(headers)
-    target = request.target
-    first_part = target.split(b"?", 1)[0].split(b"/", 2)[1:2]
+    if len(named) < len(headers) and any(sum(n == name for n, _ in headers) > 1 for name in READ_ONCE):
+        raise NotTaken(400, "a header twice")
+    # One of the two lengths hides what the other shows, a req inside a body perhaps.
+    if b"transfer-encoding" in named and b"content-length" in named:
+        raise NotTaken(400, "two lengths", cut=True)
+    length = int(named.get(b"content-length", 0))
+    if length > BODY_MOST:
+        raise NotTaken(413, "body over 64 KiB")
+    first_part = request.target.split(b"?", 1)[0].split(b"/", 2)[1:2]
     frontend = next((f for f in known.frontends if first_part == [f.name.encode()]), None)
     if frontend is None:
         raise NotTaken(404, "unknown frontend")
+    if request.method != (b"GET" if frontend.effect is Effect.REPLAYABLE else b"POST"):
+        raise NotTaken(405, "not this frontend's method")
+    if request.method == b"GET" and (length or b"transfer-encoding" in named):
+        raise NotTaken(400, "a body where there is none")
     try:
         trace = named[b"x-trace-id"].decode("ascii")
         plan = named[b"plan"].decode("ascii")
-        customer = int(_cookie(named[b"cookie"], b"key"), 16)
+        customer = _cookie(named[b"cookie"], b"key")
         quota = dict(_pair(part) for part in named[b"quota-info"].split(b","))
-        units, spread, first = (int(quota[name]) for name in (b"units", b"spread", b"first"))
+        units, spread, first = (_whole(quota[name]) for name in (b"units", b"spread", b"first"))
         patience = _span(named[b"x-expires-in"]) if b"x-expires-in" in named else frontend.client_timeout
     except KeyError as err:
         raise NotTaken(400, f"missing {str(err)[:40]}") from err
     except (ValueError, UnicodeDecodeError) as err:
         raise NotTaken(400, f"malformed header: {str(err)[:60]}") from err
-    if not trace or not 0 <= customer < 2**64 or not patience > 0.0:
+    if not trace or not KEY.fullmatch(customer) or not patience > 0.0:
         raise NotTaken(400, "malformed header")
-    if units < 0 or spread < 1 or first < 0:
-        raise NotTaken(400, "malformed quota-info")
+    if not (0 < units <= (known.units_most or units) and 0 < spread <= known.nodes and first < known.nodes):
+        raise NotTaken(400, "quota-info out of range")
     if not any(p.name == plan for p in known.plans):
         raise NotTaken(400, "unknown plan")
     if frontend.effect is Effect.UNIQUED and not named.get(b"idempotency-key"):
         raise NotTaken(400, "missing idempotency-key")
     return Asked(
-        client, at, trace, request.method, target, headers, body, frontend.name,
-        f"{customer:x}", plan, units, spread, first, min(patience, frontend.client_timeout),
+        client, at, trace, request.method, request.target, headers, b"", frontend.name,
+        f"{int(customer, 16):x}", plan, units, spread, first, min(patience, frontend.client_timeout),
     )  # fmt: skip
 
 
@@ -202,12 +218,19 @@
     return name.strip(), value.strip()
 
 
+def _whole(text: bytes) -> int:
+    """Python would also read a sign, blanks and underscores."""
+    if not text.isdigit() or len(text) > 9:
+        raise ValueError(f"no number: {text[:20]!r}")
+    return int(text)
+
+
 def _span(text: bytes) -> float:
     """A number and its unit, in ms."""
-    amount, unit = float(text[:-1]), text[-1:]
-    if unit not in (b"m", b"u") or not 0.0 <= amount < 1e12:
+    read = SPAN.fullmatch(text)
+    if read is None:
         raise ValueError("x-expires-in")
-    return amount if unit == b"m" else amount / 1000.0
+    return float(read[1]) / (1.0 if read[2] == b"m" else 1000.0)
 
 
 def answer(done: Answer) -> tuple[int, Headers, bytes]:
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -21,9 +21,9 @@
 from onyxpost.edge.reducer import Reducer
 from onyxpost.edge.servers import Servers
 
-SWEEP = 1.0  # s between looks for idle connections
+SWEEP = 0.25  # s between looks for idle connections
 ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
-SPARE = 16  # descriptors for files, the listener, discovery, peers and what is just being accepted
+SPARE = 48  # descriptors for files, the listener, discovery, peers, what is just being accepted or refused
 
 
 class Phase(Enum):
@@ -157,12 +157,16 @@
     # Descriptors
 
     def held_open(self) -> int:
-        return len(self.clients.open) + self.servers.links + SPARE
+        descriptors = self.node.descriptors
+        return len(self.clients.open) + self.servers.links + min(SPARE, descriptors // 4)
 
     def client_room(self) -> bool:
-        """Is there room for one client more? Idle server connections go first, then idle clients."""
-        full = self.held_open() >= self.node.descriptors
-        return not full or self.servers.make_room() or self.clients.close_idle(1) > 0
+        """Is there room for one client more? They leave two fifths to the servers' connections: each client
+        holds its own for as long as it likes, and what cannot be sent on is of no use."""
+        descriptors = self.node.descriptors
+        if len(self.clients.open) >= (descriptors - min(SPARE, descriptors // 4)) * 3 // 5:
+            return self.clients.make_room()
+        return self.held_open() < descriptors or self.servers.make_room() or self.clients.make_room()
 
     def server_room(self) -> bool:
         return self.held_open() < self.node.descriptors or self.servers.make_room()
