Connections to servers rest after an answer, are looked at before a req, and keep to one id

Seen by reading, each shown by a story that fails on the former servers.py and exchange.py: a stray page right behind an answer could be taken for the answer to the next req on that connection (Servers.pooled knew only what the loop had read); an answer of 3 GB held its dispatch to its time-out; 1xx answers without end did too; a new server at an old address got the old one's connections (pools went by address); addresses of servers gone stayed for the life of a node (Reducer.addresses).

--- a/onyxpost/edge/exchange.py
+++ b/onyxpost/edge/exchange.py
@@ -8,6 +8,8 @@
 import h11
 
 READ = 65536  # bytes asked of a stream at once
+FRAMING = (b"content-length", b"transfer-encoding")
+AHEAD_MOST = 8  # 1xx answers before the answer
 
 Read = Callable[[], Awaitable[bytes]]
 
@@ -31,6 +33,7 @@
 async def answered(http: h11.Connection, read: Read, most: int) -> tuple[h11.Response, bytes]:
     response: h11.Response | None = None
     body = bytearray()
+    ahead = 0
     while True:
         event = http.next_event()
         if event is h11.NEED_DATA:
@@ -40,14 +43,19 @@
             http.receive_data(data)
         elif isinstance(event, h11.Response):
             response = event
+            lengths = [value for name, value in event.headers if name in FRAMING]
+            if len(lengths) > 1 or (lengths and lengths[0].isdigit() and int(lengths[0]) > most):
+                raise h11.RemoteProtocolError(f"two lengths, or over {most} bytes")
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > most:
                 raise h11.RemoteProtocolError(f"body over {most} bytes")
         elif isinstance(event, h11.EndOfMessage) and response is not None:
             return response, bytes(body)
-        elif not isinstance(event, h11.InformationalResponse):
-            raise Cut("connection ended")
+        elif isinstance(event, h11.InformationalResponse) and ahead < AHEAD_MOST:
+            ahead += 1
+        else:
+            raise Cut("connection ended, or nothing but 1xx")
 
 
 def again(http: h11.Connection) -> bool:
@@ -61,5 +69,5 @@
 def _framed(response: h11.Response | None) -> bool:
     """Is there a word on where the body ends? Else its end cannot be told from a cut."""
     return response is not None and any(
-        name in (b"content-length", b"transfer-encoding") for name, _ in response.headers
+        name in FRAMING for name, _ in response.headers
     )
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -30,6 +30,13 @@
 Address = tuple[str, int]
 
 
+class Place(NamedTuple):
+    """Where a server is: another one may come to its address."""
+
+    server: str
+    address: Address
+
+
 class Asked(NamedTuple):
     """A client's req, whole."""
 
@@ -96,7 +103,7 @@
 
 class Send(NamedTuple):
     dispatch: int
-    address: Address
+    to: Place
     asked: Asked
     give_up_after: float
 
@@ -119,6 +126,12 @@
     ABORTED = "aborted"
 
 
+class Leave(NamedTuple):
+    """A server is gone, or has moved."""
+
+    place: Place
+
+
 class Answer(NamedTuple):
     client: int
     kind: Kind
@@ -150,7 +163,7 @@
     return Log("fault", {"at": where, "cause": cause[-4000:]})
 
 
-Outgoing = Send | Close | Withdraw | Answer | Tell | Wake | Watch | Log
+Outgoing = Send | Close | Withdraw | Leave | Answer | Tell | Wake | Watch | Log
 
 
 class NotTaken(Exception):
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -54,6 +54,7 @@
             m.Send: self.servers.send,
             m.Close: lambda effect: self.servers.close(effect.dispatch),
             m.Withdraw: lambda effect: self.servers.withdraw(effect.dispatch),
+            m.Leave: lambda effect: self.servers.leave(effect.place),
             m.Answer: self.clients.answer,
             m.Tell: self.peers.tell,
             m.Wake: self.wake,
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -6,7 +6,7 @@
 
 from onyxpost.deployment import Deployment
 from onyxpost.edge import messages as m
-from onyxpost.interface import Decider, Result
+from onyxpost.interface import Decider, Result, Standing
 
 
 class Held:
@@ -34,7 +34,7 @@
         self.traces: dict[str, Held] = {}  # while an answer is owed or a dispatch is out
         self.dispatches: dict[int, tuple[Held, int]] = {}  # those out
         self.later: list[tuple[object, ...]] = []  # what the decider is told in the next round
-        self.addresses: dict[str, m.Address] = {}
+        self.places: dict[str, m.Place] = {}
         self.effects: list[m.Outgoing] = []
 
     @property
@@ -106,8 +106,7 @@
                 self.over(held)
                 return ("client_left", held.id)
             case m.Listed():
-                self.addresses.update(value.addresses)
-                return ("listed", value.complete, value.rows)
+                return self.listed(value)
             case m.ListFailed():
                 return ("list_failed",)
 
@@ -122,6 +121,17 @@
         self.held[held.id] = self.clients[a.client] = self.traces[a.trace] = held
         return ("arrived", held.id, leaves, a.frontend, a.customer, a.plan, a.units, a.spread, a.first)
 
+    def listed(self, told: m.Listed) -> tuple[object, ...]:
+        gone = set(self.places) - set(told.addresses) if told.complete else set()
+        gone |= {row.server for row in told.rows if row.standing is Standing.GONE}
+        places = {server: m.Place(server, address) for server, address in told.addresses.items()}
+        for server, place in list(self.places.items()):
+            if server in gone or places.get(server, place) != place:
+                self.effects.append(m.Leave(place))
+                del self.places[server]
+        self.places |= {server: place for server, place in places.items() if server not in gone}
+        return ("listed", told.complete, told.rows)
+
     def ended(self, end: m.Ended) -> tuple[object, ...] | None:
         held, number = self.dispatches.pop(end.dispatch, (None, 0))
         if held is None:
@@ -158,12 +168,12 @@
         number = len(held.dispatches)
         held.dispatches.append(self.sent)
         until = min(give_up_after, held.leaves - self.now)
-        if held.answered or until <= 0.0:
+        if held.answered or until <= 0.0 or server not in self.places:
             self.later.append(("dispatch_ended", req, number, Result.UNUSED, 0.0, held.answered, 0))
             return
         self.dispatches[self.sent] = held, number
         held.out += 1
-        self.effects.append(m.Send(self.sent, self.addresses[server], held.asked, until))
+        self.effects.append(m.Send(self.sent, self.places[server], held.asked, until))
 
     def deny(self, req: str, retry_after: float) -> None:
         if held := self.held.get(req):
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import inspect
+import socket
 from collections.abc import Callable
 from typing import Any, cast
 
 import h11
 
 from onyxpost.edge import messages as m
-from onyxpost.edge.exchange import READ, again, answered, message
+from onyxpost.edge.exchange import READ, Cut, again, answered, lean, message
 from onyxpost.interface import Result
 
 KEPT = 0.75  # share of the servers' keep-alive after which an idle connection is retired
+REST = 30.0  # ms between an answer and the next req: what comes right behind one would seem the next's
 
 
 class Reader(asyncio.StreamReader):
@@ -32,8 +34,8 @@
 class Link:
     """One connection to an app server; one dispatch at a time."""
 
-    def __init__(self, address: m.Address, streams: Streams) -> None:
-        self.address, (self.reader, self.writer) = address, streams
+    def __init__(self, to: m.Place, sock: socket.socket, streams: Streams) -> None:
+        self.to, self.sock, (self.reader, self.writer) = to, sock, streams
         self.http = h11.Connection(h11.CLIENT)
         self.written = False
         self.since = 0.0
@@ -45,10 +47,24 @@
         ended = reader.at_eof() or reader.exception() is not None or self.writer.transport.is_closing()
         return ended or reader.came > self.taken
 
+    def silent(self) -> bool:
+        """Neither ended nor spoken to us, also by what the loop has not read yet."""
+        if self.dead():
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
     async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
         self.writer.write(message(self.http, request, body))
         await self.writer.drain()
         self.written = True
+        if self.reader.came > self.taken:
+            raise Cut("it spoke before the req's last byte had left")
         response, page = await answered(self.http, self.read, m.BODY_MOST)
         result = m.result(response)
         return result, m.Page(list(response.headers), page) if result is Result.OK else None
@@ -70,7 +86,7 @@
     ) -> None:  # fmt: skip
         self.clock, self.post, self.room, self.fault = clock, post, room, fault
         self.connect_timeout, self.kept = connect_timeout, KEPT * keep_alive
-        self.idle: dict[m.Address, list[Link]] = {}
+        self.idle: dict[m.Place, list[Link]] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
         self.withdrawn: set[int] = set()
         self.links = 0  # open, idle ones too
@@ -97,7 +113,7 @@
         result, page = Result.NO_CONNECTION, None
         try:
             async with asyncio.timeout(send.give_up_after / 1000.0):
-                link = self.pooled(send.address) or await self.connect(send.address)
+                link = self.pooled(send.to) or await self.connect(send.to)
                 if send.dispatch in self.withdrawn:
                     result = Result.UNUSED
                     return
@@ -118,70 +134,90 @@
                 self.done_with(link, page is not None or result in (Result.ERROR, Result.FULL))
             self.post(m.Ended(send.dispatch, result, self.clock() - began, page))
 
-    async def connect(self, address: m.Address) -> Link:
+    async def connect(self, to: m.Place) -> Link:
         if not self.room():
             raise OSError("no descriptor left")
         self.links += 1
         try:
             async with asyncio.timeout(self.connect_timeout / 1000.0 if self.connect_timeout else None):
-                streams = await self.open(address)
+                link = await self.open(to)
+            if link.silent():
+                return link
+            link.writer.transport.abort()
+            raise OSError("closed, or spoke, before it was asked")
         except BaseException as err:
             self.links -= 1
             if isinstance(err, TimeoutError):
                 raise OSError("never came up") from err
             raise
-        return Link(address, streams)
 
-    async def open(self, address: m.Address) -> Streams:
+    async def open(self, to: m.Place) -> Link:
+        """The socket is made here: asyncio shows nobody what it has not read yet."""
         loop = asyncio.get_running_loop()
-        reader = Reader(limit=READ, loop=loop)
-        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-        transport, _ = await loop.create_connection(lambda: protocol, *address)
-        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+        sock = socket.socket(socket.AF_INET6 if ":" in to.address[0] else socket.AF_INET)
+        try:
+            sock.setblocking(False)
+            await loop.sock_connect(sock, to.address)
+            reader = Reader(limit=READ, loop=loop)
+            protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+            transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        lean(writer, READ)
+        return Link(to, sock, (reader, writer))
 
     def usable(self, link: Link) -> bool:
         return not link.dead() and self.clock() - link.since < self.kept
 
-    def pooled(self, address: m.Address) -> Link | None:
-        """The one last used: the others may then be retired."""
-        links = self.idle.get(address, [])
-        while links:
-            link = links.pop()
-            if self.usable(link):
-                return link
-            self.shut(link)
+    def pooled(self, to: m.Place) -> Link | None:
+        """The one last used that has rested: the others may then be retired."""
+        links = self.idle.get(to, [])
+        rested = self.clock() - REST
+        for at in range(len(links) - 1, -1, -1):
+            if links[at].since <= rested:
+                link = links.pop(at)
+                if self.usable(link) and link.silent():
+                    return link
+                self.shut(link)
         return None
 
     def done_with(self, link: Link, whole: bool) -> None:
         if whole and link.reusable():
             link.since = self.clock()
-            self.idle.setdefault(link.address, []).append(link)
+            self.idle.setdefault(link.to, []).append(link)
         else:
             self.shut(link)
 
+    def leave(self, to: m.Place) -> None:
+        """The server is gone: whoever has its address next is another."""
+        for link in self.idle.pop(to, []):
+            self.shut(link)
+
     def shut(self, link: Link) -> None:
         self.links -= 1
         link.writer.transport.abort()  # nothing is left to be written; a silent machine would never take it
 
     def sweep(self) -> None:
         """Retire those idle for long or closed by the server."""
-        for address, links in list(self.idle.items()):
+        for to, links in list(self.idle.items()):
             kept = []
             for link in links:
                 if self.usable(link):
                     kept.append(link)
                 else:
                     self.shut(link)
-            self.idle[address] = kept
+            self.idle[to] = kept
             if not kept:
-                del self.idle[address]
+                del self.idle[to]
 
     def make_room(self) -> bool:
         """Shut the connection that has been idle for longest."""
         oldest = min((links[0] for links in self.idle.values() if links), key=lambda k: k.since, default=None)
         if oldest is None:
             return False
-        self.idle[oldest.address].remove(oldest)
+        self.idle[oldest.to].remove(oldest)
         self.shut(oldest)
         return True
 
--- a/tests/host.py
+++ b/tests/host.py
@@ -134,7 +134,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-ASKED = m.Asked(1, 0.0, "t", b"GET", b"/check", [], b"", "check", "c", "basic", 1, 1, 0, 900.0)
+ASKED = m.Asked(1, 0.0, "t", b"GET", b"/check", [(b"host", b"b")], b"", "check", "c", "basic", 1, 1, 0, 900.0)
 PAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Type: text/x\r\nX-Mark: 1\r\n\r\nhello"
 
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -32,6 +32,7 @@
                 act(writer, *item[1:])
 
 
+ROW = {"instanceId": "s0", "hostPort": "127.0.0.1:9", "lifecycle": "up"}
 ENDS = [(Result.OK, True), (Result.OK, True), (Result.LOST, True)]
 
 
@@ -95,6 +96,17 @@
         self.step()
         self.assertEqual(self.script.told[-1][:4], ("dispatch_ended", "1", 1, Result.UNUSED))
 
+    def test_a_server_that_is_gone_or_has_moved_is_forgotten_and_its_connections_left(self) -> None:
+        old = m.Place("s0", ("127.0.0.1", 9))
+        moved = m.listed({"generation": 5, "instances": [ROW | {"hostPort": "127.0.0.1:8"}]})
+        self.assertEqual(self.step(moved), [m.Leave(old)])
+        gone = m.listed({"generation": 6, "instances": [ROW | {"lifecycle": "removed"}]})
+        self.assertEqual(self.step(gone), [m.Leave(m.Place("s0", ("127.0.0.1", 8)))])
+        self.assertEqual(self.reducer.places, {})
+        self.assertEqual(self.step(self.asked()), [])  # sent there all the same: unused
+        self.step()
+        self.assertEqual(self.script.told[-1][:4], ("dispatch_ended", "1", 0, Result.UNUSED))
+
     def test_an_id_that_is_still_held_is_not_sent_on_beside_the_first(self) -> None:
         self.step(self.asked())
         self.assertEqual(self.step(self.asked(client=2)), [m.Answer(2, m.Kind.ABORTED)])
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from onyxpost.edge import clients
+from onyxpost.edge import clients, servers
 from onyxpost.edge import messages as m
 from onyxpost.edge.discovery import Discovery
 from onyxpost.edge.peers import Peers
@@ -40,6 +40,7 @@
 class OneNode(unittest.IsolatedAsyncioTestCase):
     async def test_a_page_is_passed_unchanged_and_its_connection_used_again(self) -> None:
         async with AppServer() as server, Edge(server.address) as edge:
+            self.enterContext(mock.patch.object(servers, "REST", 0.0))
             for trace in ("a", "b"):
                 head, body = await edge.ask(wire_req(trace=trace))
                 self.assertEqual((head.split(b"\r\n")[0][:12], body), (b"HTTP/1.1 200", b"hello"))
@@ -48,7 +49,10 @@
             self.assertTrue(server.got[0].startswith(b"GET /check/7?a=b HTTP/1.1\r\n"))
 
     async def test_a_cut_or_malformed_page_is_not_passed(self) -> None:
-        for text in (PAGE[:-2], PAGE.replace(b"Content-Length: 5\r\n", b""), b"nonsense\r\n\r\n",
+        huge = b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"
+        for text in (PAGE[:-2], PAGE.replace(b"X-Mark: 1", b"Transfer-Encoding: chunked"), huge,
+                     b"HTTP/1.1 103 Early\r\n\r\n" * 9 + PAGE,
+                     PAGE.replace(b"Content-Length: 5\r\n", b""), b"nonsense\r\n\r\n",
                      PAGE.replace(b": 5", b": 70000") + b"x" * 69995):  # fmt: skip
             async with AppServer(*[(text, True)] * 9) as server, Edge(server.address) as edge:
                 head, body = await edge.ask(wire_req())
@@ -69,6 +73,50 @@
             link.reader.feed_data(PAGE.replace(b"hello", b"other"))
             self.assertEqual((await edge.ask(wire_req(trace="b")))[1], b"hello")
 
+    async def test_what_comes_right_behind_an_answer_finds_no_req_to_answer(self) -> None:
+        self.enterContext(mock.patch.object(servers, "REST", 1e9))
+        async with AppServer() as server, Edge(server.address) as edge:
+            for trace in ("a", "b"):
+                self.assertEqual((await edge.ask(wire_req(trace=trace)))[1], b"hello")
+            self.assertEqual(server.opened, 2)
+
+    async def test_bytes_that_the_loop_has_not_read_yet_show_before_a_req_is_written(self) -> None:
+        pool = Servers(lambda: 0.0, print, lambda: True, print, 250.0, 15000.0)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            link = await pool.connect(m.Place("s", listener.getsockname()))
+            with listener.accept()[0] as far:
+                self.assertTrue(link.silent())
+                far.send(PAGE)
+                self.assertEqual((link.dead(), link.silent()), (False, False))
+            pool.shut(link)
+
+    async def test_an_answer_far_too_long_ends_its_dispatch_at_its_head(self) -> None:
+        ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
+        pool = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 250.0, 15000.0)
+        async with AppServer((PAGE.replace(b": 5", b": 3000000000"), False)) as server:
+            pool.send(m.Send(7, m.Place("s", server.address), ASKED, 4000.0))
+            end = await asyncio.wait_for(ends.get(), 5.0)
+            assert isinstance(end, m.Ended)
+            self.assertIs(end.result, Result.LOST)
+
+    async def test_some_1xx_answers_ahead_of_a_good_one_do_not_spoil_it(self) -> None:
+        early = b"HTTP/1.1 103 Early\r\n\r\n" * 3
+        async with AppServer((early + PAGE, False)) as server, Edge(server.address) as edge:
+            self.assertEqual((await edge.ask(wire_req()))[1], b"hello")
+
+    async def test_a_new_server_at_an_old_address_inherits_no_connection(self) -> None:
+        self.enterContext(mock.patch.object(servers, "REST", 0.0))
+        ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
+        pool = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 250.0, 15000.0)
+        async with AppServer() as server:
+            for number, name in enumerate(("old", "old", "new")):
+                pool.send(m.Send(number, m.Place(name, server.address), ASKED, 900.0))
+                await asyncio.wait_for(ends.get(), 5.0)
+            self.assertEqual((server.opened, pool.links), (2, 2))
+            pool.leave(m.Place("old", server.address))
+            self.assertEqual(pool.links, 1)
+            pool.finish()
+
     async def test_a_connection_that_the_server_closed_is_not_used_again(self) -> None:
         async with AppServer((PAGE, True)) as server, Edge(server.address) as edge:
             await edge.ask(wire_req(trace="a"))
@@ -92,7 +140,7 @@
     async def test_a_dispatch_closed_before_its_first_step_still_tells_its_end(self) -> None:
         ends: list[m.Incoming] = []
         servers = Servers(lambda: 0.0, ends.append, lambda: True, print, 250.0, 15000.0)
-        servers.send(m.Send(7, ("127.0.0.1", 9), ASKED, 900.0))
+        servers.send(m.Send(7, m.Place("s", ("127.0.0.1", 9)), ASKED, 900.0))
         servers.close(7)
         await asyncio.sleep(0.01)
         self.assertEqual(ends, [m.Ended(7, Result.UNUSED, 0.0)])
@@ -101,7 +149,7 @@
         ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
         servers = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 250.0, 15000.0)
         async with AppServer() as server:
-            servers.send(m.Send(7, server.address, ASKED, 900.0))
+            servers.send(m.Send(7, m.Place("s", server.address), ASKED, 900.0))
             await asyncio.sleep(0)  # it connects
             servers.withdraw(7)
             self.assertEqual(await asyncio.wait_for(ends.get(), 5.0), m.Ended(7, Result.UNUSED, 0.0))
@@ -115,7 +163,7 @@
             silent.listen(0)
             with socket.create_connection(silent.getsockname()):
                 for address in (silent.getsockname(), ("127.0.0.1", 9)):
-                    servers.send(m.Send(7, address, ASKED, 900.0))
+                    servers.send(m.Send(7, m.Place("s", address), ASKED, 900.0))
                     end = await asyncio.wait_for(ends.get(), 5.0)
                     assert isinstance(end, m.Ended)
                     self.assertIs(end.result, Result.NO_CONNECTION)
