--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -53,7 +53,8 @@
     bounds, family, rules = params["bounds"], params.get("family_info", {}), params["rules"]
     if not params["grades"] or not 0 <= params["ordinal"] < params["n_instances"]:
         raise ValueError("no grades, or an ordinal outside of n_instances")
-    grace = rules.get("drain_grace_us", 250_000)
+    grace, tries = rules.get("drain_grace_us", 250_000), bounds.get("try_limit", 1)
+    shortest = min(grade["deadline_us"] for grade in params["grades"])
     return Deployment(
         number=params["ordinal"],
         nodes=params["n_instances"],
@@ -67,7 +68,7 @@
             rules.get("fall_us", 0) / 1000.0,
         ),
         allowed=Allowed(
-            bounds.get("try_limit", 1),
+            tries,
             bounds.get("parallel_tries", False),
             bounds.get("cancelling", False),
             bounds.get("peers", False),
@@ -75,8 +76,9 @@
             family.get("mail_per_s", 0.0),
         ),
         must_ask=params.get("discovery") == "on_request",
-        # One dispatch may wait for its connection no longer than a drain's grace: it could begin past it.
-        connect_timeout=min(bounds.get("connect_timeout_us", grace), grace) / 1000.0,
+        # One dispatch may wait for its connection no longer than a drain's grace: it could begin past it; and
+        # all that a req may have must have failed to connect within half of its time.
+        connect_timeout=min(bounds.get("connect_timeout_us", grace), grace, shortest / 2 / tries) / 1000.0,
         keep_alive=bounds.get("keepalive_us", 0) / 1000.0,
         units_most=family.get("most_units", 0),
     )
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -145,6 +145,10 @@
         rules = SETTINGS["rules"] | {"drain_grace_us": 100_000}
         self.assertEqual(deployment.decode(SETTINGS | {"rules": rules}).connect_timeout, 100.0)
 
+    def test_connections_that_never_come_up_leave_half_of_a_reqs_time(self) -> None:
+        bounds = SETTINGS["bounds"] | {"try_limit": 10}
+        self.assertEqual(deployment.decode(SETTINGS | {"bounds": bounds}).connect_timeout, 100.0)
+
     def asked(self, *changed: tuple[str, str], target: str = "/check/7?a=b") -> m.Asked:
         headers = {
             "x-trace-id": "t", "plan": "basic", "cookie": "a=1; key=00000000b4d65521", "x-expires-in": "480m",
