The descriptors kept spare are worked out in one place

From one more reading of the whole change: held_open and client_room each worked out the spare descriptors. Behaviour is as it was; no story was touched. Not played on sockets again, as nothing but the place of one sum changed.

--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -157,9 +157,11 @@
 
     # Descriptors
 
+    def spare(self) -> int:
+        return min(SPARE, self.node.descriptors // 4)
+
     def held_open(self) -> int:
-        descriptors = self.node.descriptors
-        return len(self.clients.open) + self.servers.links + min(SPARE, descriptors // 4)
+        return len(self.clients.open) + self.servers.links + self.spare()
 
     def client_room(self) -> bool:
         """Is there room for one client more? The front opens a third of the descriptors at most, and one that
@@ -169,7 +171,7 @@
         descriptors, clients = self.node.descriptors, len(self.clients.open)
         if clients >= descriptors // 4 and self.clients.make_room():
             return True
-        return clients < (descriptors - min(SPARE, descriptors // 4)) * 3 // 5 and self.server_room()
+        return clients < (descriptors - self.spare()) * 3 // 5 and self.server_room()
 
     def server_room(self) -> bool:
         return self.held_open() < self.node.descriptors or self.servers.make_room()
