A server told to drain while a dispatch connects gets no byte of it

Cause, by reading and a story: Servers.run connects, then writes, and looked only at whether the req had its answer (servers.py, after pooled/connect). A server told to drain or be gone in between was written to all the same; the connect timeout is as long as the grace, so on a node with a part of a core the first byte could leave past it. Checked and ruled out: the module picks among ready servers only, and the reducer refuses places that are gone; only the wait for the connection lies between.

Change: the reducer forgets the place of a draining server as it does of one that is gone, and Servers asks it right before the first byte and before it keeps a connection. The dispatch ends as unused, which never ran.

--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -127,7 +127,7 @@
 
 
 class Leave(NamedTuple):
-    """A server is gone, or has moved."""
+    """A server drains, is gone, or has moved."""
 
     place: Place
 
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -45,7 +45,7 @@
         self.reducer = Reducer(deployment, deployment.gateway(self.now(), node.seed))
         self.clients = Clients(deployment, self.now, self.post, self.ready, self.client_room, self.fault)
         self.servers = Servers(
-            self.now, self.post, self.server_room, self.fault,
+            self.now, self.post, self.server_room, self.reducer.wanted, self.fault,
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
         self.discovery = Discovery(node.discovery, node.known.generation, self.post, self.log)
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -37,6 +37,10 @@
         self.places: dict[str, m.Place] = {}
         self.effects: list[m.Outgoing] = []
 
+    def wanted(self, place: m.Place) -> bool:
+        """Is that server still there, and does it take new work?"""
+        return self.places.get(place.server) == place
+
     @property
     def owed(self) -> int:
         return len(self.clients)
@@ -123,7 +127,7 @@
 
     def listed(self, told: m.Listed) -> tuple[object, ...]:
         gone = set(self.places) - set(told.addresses) if told.complete else set()
-        gone |= {row.server for row in told.rows if row.standing is Standing.GONE}
+        gone |= {row.server for row in told.rows if row.standing is not Standing.READY}
         places = {server: m.Place(server, address) for server, address in told.addresses.items()}
         for server, place in list(self.places.items()):
             if server in gone or places.get(server, place) != place:
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -82,9 +82,10 @@
 class Servers:
     def __init__(
         self, clock: Callable[[], float], post: Callable[[m.Incoming], None], room: Callable[[], bool],
-        fault: Callable[[str, BaseException], None], connect_timeout: float, keep_alive: float,
+        wanted: Callable[[m.Place], bool], fault: Callable[[str, BaseException], None],
+        connect_timeout: float, keep_alive: float,
     ) -> None:  # fmt: skip
-        self.clock, self.post, self.room, self.fault = clock, post, room, fault
+        self.clock, self.post, self.room, self.wanted, self.fault = clock, post, room, wanted, fault
         self.connect_timeout, self.kept = connect_timeout, KEPT * keep_alive
         self.idle: dict[m.Place, list[Link]] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
@@ -114,7 +115,8 @@
         try:
             async with asyncio.timeout(send.give_up_after / 1000.0):
                 link = self.pooled(send.to) or await self.connect(send.to)
-                if send.dispatch in self.withdrawn:
+                # The last look before the first byte: while it connected the list may have changed.
+                if send.dispatch in self.withdrawn or not self.wanted(send.to):
                     result = Result.UNUSED
                     return
                 left = send.give_up_after - (self.clock() - began)
@@ -184,14 +186,14 @@
         return None
 
     def done_with(self, link: Link, whole: bool) -> None:
-        if whole and link.reusable():
+        if whole and link.reusable() and self.wanted(link.to):
             link.since = self.clock()
             self.idle.setdefault(link.to, []).append(link)
         else:
             self.shut(link)
 
     def leave(self, to: m.Place) -> None:
-        """The server is gone: whoever has its address next is another."""
+        """The server drains or is gone: whoever has its address next is another."""
         for link in self.idle.pop(to, []):
             self.shut(link)
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -107,6 +107,14 @@
         self.step()
         self.assertEqual(self.script.told[-1][:4], ("dispatch_ended", "1", 0, Result.UNUSED))
 
+    def test_a_server_that_drains_is_wanted_no_more_until_it_is_back(self) -> None:
+        place = m.Place("s0", ("127.0.0.1", 9))
+        drains = {"generation": 5, "instances": [ROW | {"lifecycle": "draining"}]}
+        self.assertEqual(self.step(m.listed(drains)), [m.Leave(place)])
+        self.assertFalse(self.reducer.wanted(place))
+        self.step(m.listed({"generation": 6, "instances": [ROW]}))
+        self.assertTrue(self.reducer.wanted(place))
+
     def test_an_id_that_is_still_held_is_not_sent_on_beside_the_first(self) -> None:
         self.step(self.asked())
         self.assertEqual(self.step(self.asked(client=2)), [m.Answer(2, m.Kind.ABORTED)])
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,9 +11,8 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge.discovery import Discovery
 from onyxpost.edge.peers import Peers
-from onyxpost.edge.servers import Servers
 from onyxpost.interface import Result, Standing
-from tests.host import ASKED, PAGE, AppServer, Edge, node_fields, wire_req
+from tests.host import ASKED, PAGE, AppServer, Edge, node_fields, pool_of, wire_req
 
 
 class Neighbours(unittest.IsolatedAsyncioTestCase):
@@ -81,7 +80,7 @@
             self.assertEqual(server.opened, 2)
 
     async def test_bytes_that_the_loop_has_not_read_yet_show_before_a_req_is_written(self) -> None:
-        pool = Servers(lambda: 0.0, print, lambda: True, print, 250.0, 15000.0)
+        pool = pool_of(print)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             link = await pool.connect(m.Place("s", listener.getsockname()))
             with listener.accept()[0] as far:
@@ -92,7 +91,7 @@
 
     async def test_an_answer_far_too_long_ends_its_dispatch_at_its_head(self) -> None:
         ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
-        pool = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 250.0, 15000.0)
+        pool = pool_of(ends.put_nowait)
         async with AppServer((PAGE.replace(b": 5", b": 3000000000"), False)) as server:
             pool.send(m.Send(7, m.Place("s", server.address), ASKED, 4000.0))
             end = await asyncio.wait_for(ends.get(), 5.0)
@@ -107,7 +106,7 @@
     async def test_a_new_server_at_an_old_address_inherits_no_connection(self) -> None:
         self.enterContext(mock.patch.object(servers, "REST", 0.0))
         ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
-        pool = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 250.0, 15000.0)
+        pool = pool_of(ends.put_nowait)
         async with AppServer() as server:
             for number, name in enumerate(("old", "old", "new")):
                 pool.send(m.Send(number, m.Place(name, server.address), ASKED, 900.0))
@@ -139,7 +138,7 @@
 
     async def test_a_dispatch_closed_before_its_first_step_still_tells_its_end(self) -> None:
         ends: list[m.Incoming] = []
-        servers = Servers(lambda: 0.0, ends.append, lambda: True, print, 250.0, 15000.0)
+        servers = pool_of(ends.append)
         servers.send(m.Send(7, m.Place("s", ("127.0.0.1", 9)), ASKED, 900.0))
         servers.close(7)
         await asyncio.sleep(0.01)
@@ -147,7 +146,7 @@
 
     async def test_a_dispatch_still_connecting_is_not_written_once_its_req_has_its_answer(self) -> None:
         ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
-        servers = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 250.0, 15000.0)
+        servers = pool_of(ends.put_nowait)
         async with AppServer() as server:
             servers.send(m.Send(7, m.Place("s", server.address), ASKED, 900.0))
             await asyncio.sleep(0)  # it connects
@@ -155,9 +154,20 @@
             self.assertEqual(await asyncio.wait_for(ends.get(), 5.0), m.Ended(7, Result.UNUSED, 0.0))
             self.assertEqual(server.got, [])
 
+    async def test_a_server_told_to_drain_while_a_dispatch_connects_gets_no_byte_of_it(self) -> None:
+        ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
+        drains: set[m.Place] = set()
+        servers = pool_of(ends.put_nowait, wanted=lambda place: place not in drains)
+        async with AppServer() as server:
+            servers.send(m.Send(7, m.Place("s", server.address), ASKED, 900.0))
+            await asyncio.sleep(0)  # it connects
+            drains.add(m.Place("s", server.address))
+            self.assertEqual(await asyncio.wait_for(ends.get(), 5.0), m.Ended(7, Result.UNUSED, 0.0))
+            self.assertEqual((server.got, servers.links), ([], 0))
+
     async def test_a_server_that_refuses_or_never_comes_up_never_ran(self) -> None:
         ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
-        servers = Servers(lambda: 0.0, ends.put_nowait, lambda: True, print, 20.0, 15000.0)
+        servers = pool_of(ends.put_nowait, connect=20.0)
         with socket.socket() as silent:  # its one place in the queue is taken: a further one never comes up
             silent.bind(("127.0.0.1", 0))
             silent.listen(0)
