--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -30,6 +30,7 @@
     cold_rule: ColdRule
     allowed: Allowed
     must_ask: bool
+    drain_grace: float
     connect_timeout: float
     keep_alive: float
     units_most: int  # that one req may take; 0: nothing is said
@@ -76,6 +77,7 @@
             family.get("mail_per_s", 0.0),
         ),
         must_ask=params.get("discovery") == "on_request",
+        drain_grace=grace / 1000.0,
         # One dispatch may wait for its connection no longer than a drain's grace: it could begin past it; and
         # all that a req may have must have failed to connect within half of its time.
         connect_timeout=min(bounds.get("connect_timeout_us", grace), grace, shortest / 2 / tries) / 1000.0,
--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -206,8 +206,12 @@
             client.body.clear()
 
     def incoming(self) -> bool:
-        """Is a req on its way in?"""
-        return any(client.begun and not client.rest for client in self.open.values())
+        """Is a req on its way in? One that just connected is about to say it."""
+        late = self.clock() - MUTE
+        return any(
+            (client.begun and not client.rest) or (client.fresh and not client.waits and client.since > late)
+            for client in self.open.values()
+        )
 
     def idle(self) -> list[Client]:
         """Between reqs, those that have stood longest first. A req that crosses a close on its way is sent
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 
@@ -24,18 +25,26 @@
         log: Callable[[m.Log], None],
     ) -> None:  # fmt: skip
         self.address, self.generation, self.post, self.log = address, generation, post, log
+        self.too: m.Address | None = None  # where else it may be, until one of both has answered
         self.down = False
+        self.asked = asyncio.Event()  # the first answer is here, or there is none to be had
         self.watches: list[asyncio.Task[None]] = []  # after a move, those that the next one is to replace too
 
     def begin(self) -> None:
         if not self.watches:
             self.watch_at(self.address)
 
+    async def heard_first(self, most: float) -> None:
+        """Until the agent has told what it holds; one that is silent is waited for up to `most` ms."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(most / 1000.0):
+                await self.asked.wait()
+
     def move(self, address: m.Address) -> None:
         """The old watch goes on until the new address has told its list, so nothing is missed between."""
         if address != self.address and self.watches:
             self.watch_at(address, moved=True)
-        self.address = address
+        self.address, self.too = address, None
 
     def watch_at(self, address: m.Address, moved: bool = False) -> None:
         self.watches.append(asyncio.get_running_loop().create_task(self.watch(address, moved)))
@@ -45,12 +54,19 @@
             watch.cancel()
 
     async def watch(self, address: m.Address, moved: bool = False) -> None:
+        swapped = False  # the other address is tried at once, the first one again after a while
         while True:
             try:
                 async for listed in self.watch_on_one(address, moved):
                     self.told(listed, moved)
                     moved = False
             except (OSError, h11.ProtocolError, Unreadable) as err:
+                if self.too is not None and address == self.address:
+                    address, self.too = self.too, address
+                    self.address, swapped = address, not swapped
+                    if swapped:
+                        continue
+                self.asked.set()
                 if not self.down and address == self.address:
                     self.down = True
                     self.log(m.Log("discovery down", {"cause": f"{type(err).__name__}: {err}"[:200]}))
@@ -69,7 +85,8 @@
             self.log(m.Log("discovery moved", {"generation": listed.generation, "held": self.generation}))
             if listed.generation < self.generation:
                 return  # older than what is held: what is newer still comes
-        self.generation = listed.generation
+        self.generation, self.too = listed.generation, None
+        self.asked.set()
         if listed.rows or listed.complete:
             self.post(listed)
 
@@ -81,7 +98,9 @@
             http = h11.Connection(h11.CLIENT)
             watching = True
             while watching:
-                target = "/v1/servers" if whole else f"/v1/servers?since={self.generation}&timeout_ms={WAIT}"
+                # The first one is answered at once, with whatever is newer than the list in the file.
+                wait = WAIT if self.asked.is_set() else 1
+                target = "/v1/servers" if whole else f"/v1/servers?since={self.generation}&timeout_ms={wait}"
                 host = [("Host", "{}:{}".format(*address))]
                 writer.write(message(http, h11.Request(method="GET", target=target, headers=host)))
                 async with asyncio.timeout((GRACE if whole else WAIT + GRACE) / 1000.0):
--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -18,6 +18,7 @@
     name: str
     listen: m.Address
     discovery: m.Address
+    discovery_too: m.Address | None  # what the file says where the variable says another
     seed: int
     descriptors: int
     peer_listen: m.Address | None
@@ -41,9 +42,12 @@
         raise Unreadable(f"{path}: not JSON: {err}") from err
     if not isinstance(fields, dict):
         raise Unreadable(f"{path}: not an object")
+    in_file = fields.get("discovery")
     for variable, name in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
         if environ.get(variable) and not (again and name in fields):
             fields[name] = environ[variable]
+    if in_file is not None and in_file != fields.get("discovery"):
+        fields["discovery_too"] = in_file  # moved while this node was down, one of them is closed by now
     try:
         return decode(fields)
     except Unreadable as err:
@@ -63,6 +67,7 @@
         name=str(fields["name"]),
         listen=m.address(fields["listen"]),
         discovery=m.address(fields["discovery"]),
+        discovery_too=m.address(fields["discovery_too"]) if "discovery_too" in fields else None,
         seed=int(fields["seed"], 16),
         descriptors=int(fields.get("limits", {}).get("sockets", 1024)),
         peer_listen=m.address(peer_listen) if peer_listen else None,
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -49,6 +49,7 @@
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
         self.discovery = Discovery(node.discovery, node.known.generation, self.post, self.log)
+        self.discovery.too = node.discovery_too
         self.peers = Peers(node.peers, deployment.number, self.post)
         self.carry = {
             m.Send: self.servers.send,
@@ -86,6 +87,8 @@
         self.round()
         if not self.node.deployment.must_ask:
             self.discovery.begin()
+        # What its agent holds counts as told from the start on, and the list in the file may be old.
+        await self.discovery.heard_first(self.node.deployment.drain_grace)
         await self.clients.listen(self.node.listen)
         self.sweep()
         gc.collect()
--- a/tests/host.py
+++ b/tests/host.py
@@ -152,6 +152,7 @@
 
     def __init__(self, *says: tuple[bytes, bool] | None) -> None:
         self.says, self.got, self.opened, self.closed = list(says), [], 0, asyncio.Event()
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def __aenter__(self) -> AppServer:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -163,6 +164,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
+        self.writers.append(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 self.got.append(await reader.readuntil(b"\r\n\r\n"))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -325,6 +325,21 @@
             self.assertEqual(await asyncio.wait_for(edge.running, 5.0), 0)
 
 
+    async def test_told_to_stop_it_still_reads_the_req_of_one_that_just_connected(self) -> None:
+        self.enterContext(mock.patch("onyxpost.edge.program.ACCEPT_ON", 0.0))
+        async with AppServer() as server, Edge(server.address) as edge:
+            reader, writer = await asyncio.open_connection(*edge.address)
+            while len(edge.program.clients.open) < 2:
+                await asyncio.sleep(0.001)
+            signal.raise_signal(signal.SIGTERM)
+            while edge.program.phase.value != "closing":
+                await asyncio.sleep(0)
+            writer.write(wire_req(trace="late"))
+            self.assertIn(b"hello", await asyncio.wait_for(reader.read(), 5.0))
+            writer.close()
+            self.assertEqual(await asyncio.wait_for(edge.running, 5.0), 0)
+
+
 class Agent(unittest.IsolatedAsyncioTestCase):
     def told(self, generation: int, lifecycle: str) -> bytes:
         row = {"instanceId": "s0", "hostPort": "127.0.0.1:9", "lifecycle": lifecycle}
@@ -374,6 +389,37 @@
                 self.assertEqual(len(edge.program.discovery.watches), 1)
                 self.assertEqual((len(old.got), edge.running.done()), (1, False))
 
+    async def test_nothing_goes_by_an_old_list_while_the_agent_holds_a_newer_one(self) -> None:
+        async with AppServer() as server, AppServer(None) as agent:
+            more = {"listen": "127.0.0.1:0", "discovery": "{}:{}".format(*agent.address)}
+            edge = Edge(server.address, **more)
+            start = asyncio.get_running_loop().create_task(edge.__aenter__())
+            while not agent.got:
+                await asyncio.sleep(0.001)
+            self.assertFalse(edge.program.ready())  # and nobody is listened to
+            self.assertIsNone(edge.program.clients.server)
+            agent.writers[0].write(self.told(5, "draining"))
+            await asyncio.wait_for(start, 5.0)
+            head, _ = await edge.ask(wire_req())
+            self.assertEqual((head.split(b" ")[1], server.got), (b"429", []))
+            await edge.__aexit__()
+
+    async def test_a_silent_agent_is_waited_for_no_longer_than_a_drains_grace(self) -> None:
+        async with AppServer() as server, AppServer(*[None] * 9) as agent:
+            async with Edge(server.address, discovery="{}:{}".format(*agent.address)) as edge:
+                self.assertEqual((await edge.ask(wire_req()))[1], b"hello")
+                self.assertEqual(edge.program.node.deployment.drain_grace, 250.0)
+
+    async def test_where_the_variable_and_the_file_differ_the_one_that_answers_is_watched(self) -> None:
+        async with AppServer() as server, AppServer((self.told(5, "draining"), False), None) as agent:
+            there, closed = "{}:{}".format(*agent.address), "127.0.0.1:1"
+            for first, other in ((closed, there), (there, closed)):
+                agent.says = [(self.told(5, "draining"), False), None]
+                async with Edge(server.address, discovery=first, discovery_too=other) as edge:
+                    self.assertEqual(edge.program.discovery.address, agent.address)
+                    self.assertEqual((await edge.ask(wire_req()))[0].split(b" ")[1], b"429")
+            self.assertEqual(server.got, [])
+
     async def test_an_agent_that_talks_nonsense_or_falls_silent_is_asked_again(self) -> None:
         nonsense = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"
         with mock.patch.multiple("onyxpost.edge.discovery", WAIT=300, GRACE=100.0):
