--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -522,11 +522,10 @@
                 del self.stirred[s]
 
     def cold_room(self, srv: Srv) -> bool:
-        """A cold server has its sure share of what is out at a warm one, each node's first at any time in its
-        interval: all nodes' firsts at once would push it over. As it takes so much longer for each, it is
-        sent the square of that share (Little): sent the share itself it answers most of them late."""
+        """A cold server gets its sure share of what a warm one is sent, each node's first at any time in its
+        interval: all nodes' firsts at once would push it over."""
         warmth = srv.warmth(self.now, self.cold_rule)
-        return warmth >= 1.0 or self.now >= srv.cold_at + srv.cold_part * self.gap / warmth**2
+        return warmth >= 1.0 or self.now >= srv.cold_at + srv.cold_part * self.gap / warmth
 
     def pick(self, req: Req) -> Srv | None:
         ranking = self.ranking(req.customer)
