Clock, connections, datagrams and signals are met in one place, edge/net.py

Need: the network code is to run on a virtual clock under scripted faults; its socket calls, clock and signals stood in five files. Change: Net names what a node needs of its host, Sockets is the system's; nothing else changes. Also the start's collection and freeze go there, as they are the process's, not the node's.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import math
-import socket
 from collections.abc import Callable
 
 import h11
@@ -13,6 +12,7 @@
 from onyxpost.deployment import Deployment
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import lean, message
+from onyxpost.edge.net import Listener, Net
 
 READ = 16384  # bytes asked of a client's stream at once, and about what may wait in it
 SLOW = 2_500.0  # ms in which a new connection must have sent a req, and a req that has begun be whole
@@ -47,20 +47,19 @@
 
 class Clients:
     def __init__(
-        self, deployment: Deployment, clock: Callable[[], float], post: Callable[[m.Incoming], None],
+        self, deployment: Deployment, net: Net, post: Callable[[m.Incoming], None],
         ready: Callable[[], bool], room: Callable[[], bool], fault: Callable[[str, BaseException], None],
     ) -> None:  # fmt: skip
-        self.deployment, self.clock, self.post, self.ready, self.room = deployment, clock, post, ready, room
+        self.deployment, self.net, self.clock = deployment, net, net.clock
+        self.post, self.ready, self.room = post, ready, room
         self.fault = fault
         self.open: dict[int, Client] = {}
         self.opened = self.over = 0  # over: open past the node's room
         self.leaving = False
-        self.server: asyncio.Server | None = None
+        self.server: Listener | None = None
 
     async def listen(self, address: m.Address) -> None:
-        listener = socket.create_server(address, backlog=1024)
-        self.server = await asyncio.start_server(self.serve, sock=listener, limit=READ, backlog=ACCEPTS)
-        listener.listen(1024)  # asyncio takes as many at once as it lets wait
+        self.server = await self.net.listen(self.serve, address, READ, ACCEPTS)
 
     def stop_listening(self) -> None:
         if self.server is not None:
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -12,6 +12,7 @@
 from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import READ, again, answered, message
+from onyxpost.edge.net import Net
 
 WAIT = 5000  # ms that one watch may wait
 GRACE = 1000.0  # ms past that wait in which a live agent answers
@@ -21,10 +22,10 @@
 
 class Discovery:
     def __init__(
-        self, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
+        self, net: Net, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
         log: Callable[[m.Log], None],
     ) -> None:  # fmt: skip
-        self.address, self.generation, self.post, self.log = address, generation, post, log
+        self.net, self.address, self.generation, self.post, self.log = net, address, generation, post, log
         self.too: m.Address | None = None  # where else it may be, until one of both has answered
         self.down = False
         self.asked = asyncio.Event()  # the first answer is here, or there is none to be had
@@ -93,7 +94,7 @@
     async def watch_on_one(self, address: m.Address, whole: bool) -> AsyncIterator[m.Listed]:
         """Watch after watch on one connection, until it fails; `whole`: the first asks for the whole list."""
         async with asyncio.timeout(GRACE / 1000.0):
-            reader, writer = await asyncio.open_connection(*address, limit=READ)
+            reader, writer, _ = await self.net.dial(address, READ)
         try:
             http = h11.Connection(h11.CLIENT)
             watching = True
--- a/onyxpost/edge/peers.py
+++ b/onyxpost/edge/peers.py
@@ -7,16 +7,19 @@
 from typing import Any, cast
 
 from onyxpost.edge import messages as m
+from onyxpost.edge.net import Net
 
 
 class Peers(asyncio.DatagramProtocol):
-    def __init__(self, peers: list[m.Address], own: int, post: Callable[[m.Incoming], None]) -> None:
-        self.peers, self.post = peers, post
+    def __init__(
+        self, net: Net, peers: list[m.Address], own: int, post: Callable[[m.Incoming], None]
+    ) -> None:
+        self.net, self.peers, self.post = net, peers, post
         self.numbers = {peer: number for number, peer in enumerate(peers) if number != own}
         self.transport: asyncio.DatagramTransport | None = None
 
     async def listen(self, address: m.Address) -> None:
-        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
+        await self.net.datagrams(self, address)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)  # asyncio's own is none by inheritance
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import signal
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
@@ -16,6 +13,7 @@
 from onyxpost.edge.clients import Clients
 from onyxpost.edge.discovery import Discovery
 from onyxpost.edge.log import Lines
+from onyxpost.edge.net import Net, Sockets
 from onyxpost.edge.node import Node
 from onyxpost.edge.peers import Peers
 from onyxpost.edge.reducer import Reducer
@@ -35,22 +33,25 @@
 
 
 class Program:
-    def __init__(self, node: Node, lines: Lines, reread: Callable[[], Node]) -> None:
+    def __init__(
+        self, node: Node, lines: Lines, reread: Callable[[], Node], net: Net | None = None
+    ) -> None:
         self.node, self.lines, self.reread = node, lines, reread
+        self.net: Net = net or Sockets()
+        self.now = self.net.clock
         self.phase = Phase.STARTING
-        self.begun = time.time() * 1000.0 - time.monotonic() * 1000.0
         self.inbox: list[m.Incoming] = []
         self.round_due = False
         deployment = node.deployment
         self.reducer = Reducer(deployment, deployment.gateway(self.now(), node.seed))
-        self.clients = Clients(deployment, self.now, self.post, self.ready, self.client_room, self.fault)
+        self.clients = Clients(deployment, self.net, self.post, self.ready, self.client_room, self.fault)
         self.servers = Servers(
-            self.now, self.post, self.server_room, self.reducer.wanted, self.fault,
+            self.net, self.post, self.server_room, self.reducer.wanted, self.fault,
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
-        self.discovery = Discovery(node.discovery, node.known.generation, self.post, self.log)
+        self.discovery = Discovery(self.net, node.discovery, node.known.generation, self.post, self.log)
         self.discovery.too = node.discovery_too
-        self.peers = Peers(node.peers, deployment.number, self.post)
+        self.peers = Peers(self.net, node.peers, deployment.number, self.post)
         self.carry = {
             m.Send: self.servers.send,
             m.Close: lambda effect: self.servers.close(effect.dispatch),
@@ -63,10 +64,6 @@
             m.Log: self.log,
         }
 
-    def now(self) -> float:
-        """Unix ms at the start, carried on by the monotonic clock: that of `startedAtMs` too."""
-        return self.begun + time.monotonic() * 1000.0
-
     # Phases
 
     def enter(self, phase: Phase) -> None:
@@ -77,10 +74,7 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self.loop_fault)
         told_to_stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, told_to_stop.set)
-        # Not the loop's: with the loop it would end, and SIGHUP then ends a process that is just leaving.
-        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
+        self.net.signals(told_to_stop.set, self.reload)
         if self.node.peer_listen is not None:
             await self.peers.listen(self.node.peer_listen)
         self.inbox.append(self.node.known)
@@ -91,8 +85,7 @@
         await self.discovery.heard_first(self.node.deployment.drain_grace)
         await self.clients.listen(self.node.listen)
         self.sweep()
-        gc.collect()
-        gc.freeze()
+        self.net.settled()
         self.enter(Phase.SERVING)
         await told_to_stop.wait()
         self.enter(Phase.LEAVING)
@@ -105,7 +98,7 @@
             self.clients.close_idle()
             await asyncio.sleep(0.01)
         await self.clients.finish()
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        self.net.deaf()
         self.shut()
         self.enter(Phase.STOPPED)
         return 0
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import inspect
-import socket
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -12,30 +11,18 @@
 
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import READ, Cut, again, answered, lean, message
+from onyxpost.edge.net import Line, Net
 from onyxpost.interface import Result
 
 KEPT = 0.75  # share of the servers' keep-alive after which an idle connection is retired
 REST = 30.0  # ms between an answer and the next req: what comes right behind one would seem the next's
 
 
-class Reader(asyncio.StreamReader):
-    """Counts what came, so that an idle connection shows what nobody asked for."""
-
-    came = 0
-
-    def feed_data(self, data: Any) -> None:
-        self.came += len(data)
-        super().feed_data(data)
-
-
-Streams = tuple[Reader, asyncio.StreamWriter]
-
-
 class Link:
     """One connection to an app server; one dispatch at a time."""
 
-    def __init__(self, to: m.Place, sock: socket.socket, streams: Streams) -> None:
-        self.to, self.sock, (self.reader, self.writer) = to, sock, streams
+    def __init__(self, to: m.Place, line: Line) -> None:
+        self.to, (self.reader, self.writer, self.unread) = to, line
         self.http = h11.Connection(h11.CLIENT)
         self.written = False
         self.since = 0.0
@@ -49,15 +36,7 @@
 
     def silent(self) -> bool:
         """Neither ended nor spoken to us, also by what the loop has not read yet."""
-        if self.dead():
-            return False
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        return not self.dead() and self.unread()
 
     async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
         self.writer.write(message(self.http, request, body))
@@ -81,11 +60,12 @@
 
 class Servers:
     def __init__(
-        self, clock: Callable[[], float], post: Callable[[m.Incoming], None], room: Callable[[], bool],
+        self, net: Net, post: Callable[[m.Incoming], None], room: Callable[[], bool],
         wanted: Callable[[m.Place], bool], fault: Callable[[str, BaseException], None],
         connect_timeout: float, keep_alive: float,
     ) -> None:  # fmt: skip
-        self.clock, self.post, self.room, self.wanted, self.fault = clock, post, room, wanted, fault
+        self.net, self.clock = net, net.clock
+        self.post, self.room, self.wanted, self.fault = post, room, wanted, fault
         self.connect_timeout, self.kept = connect_timeout, KEPT * keep_alive
         self.idle: dict[m.Place, list[Link]] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
@@ -154,21 +134,9 @@
             raise
 
     async def open(self, to: m.Place) -> Link:
-        """The socket is made here: asyncio shows nobody what it has not read yet."""
-        loop = asyncio.get_running_loop()
-        sock = socket.socket(socket.AF_INET6 if ":" in to.address[0] else socket.AF_INET)
-        try:
-            sock.setblocking(False)
-            await loop.sock_connect(sock, to.address)
-            reader = Reader(limit=READ, loop=loop)
-            protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-            transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
-        except BaseException:
-            sock.close()
-            raise
-        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-        lean(writer, READ)
-        return Link(to, sock, (reader, writer))
+        line = await self.net.dial(to.address, READ)
+        lean(line.writer, READ)
+        return Link(to, line)
 
     def usable(self, link: Link) -> bool:
         return not link.dead() and self.clock() - link.since < self.kept
--- a/tests/host.py
+++ b/tests/host.py
@@ -12,6 +12,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge import node
 from onyxpost.edge.log import Lines
+from onyxpost.edge.net import Sockets
 from onyxpost.edge.program import Program
 from onyxpost.edge.servers import Servers
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, ListRow, Plan, Result, Standing
@@ -140,11 +141,18 @@
 PAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Type: text/x\r\nX-Mark: 1\r\n\r\nhello"
 
 
+def still() -> Sockets:
+    """The system's sockets under a clock that stands."""
+    net = Sockets()
+    net.clock = lambda: 0.0  # type: ignore[method-assign]
+    return net
+
+
 def pool_of(
     post: Callable[[m.Incoming], None], connect: float = 250.0,
     wanted: Callable[[m.Place], bool] = lambda place: True,
 ) -> Servers:  # fmt: skip
-    return Servers(lambda: 0.0, post, lambda: True, wanted, print, connect, 15000.0)
+    return Servers(still(), post, lambda: True, wanted, print, connect, 15000.0)
 
 
 class AppServer:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,7 +12,7 @@
 from onyxpost.edge.discovery import Discovery
 from onyxpost.edge.peers import Peers
 from onyxpost.interface import Result, Standing
-from tests.host import ASKED, PAGE, AppServer, Edge, node_fields, pool_of, wire_req
+from tests.host import ASKED, PAGE, AppServer, Edge, node_fields, pool_of, still, wire_req
 
 
 class Neighbours(unittest.IsolatedAsyncioTestCase):
@@ -23,7 +23,8 @@
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
                 one.bind(("127.0.0.1", 0))
                 free.append(one.getsockname())
-        nodes = [Peers(free, number, heard.put_nowait) for number in (0, 1, 2)]  # the last is a stranger
+        # The last is a stranger.
+        nodes = [Peers(still(), free, number, heard.put_nowait) for number in (0, 1, 2)]
         for peers, address in zip(nodes, [*free, ("127.0.0.1", 0)], strict=True):
             await peers.listen(address)
             assert peers.transport is not None
@@ -349,7 +350,7 @@
     async def watch(self, agent: AppServer, until: int) -> tuple[list[m.Incoming], list[str]]:
         heard: list[m.Incoming] = []
         events: list[str] = []
-        discovery = Discovery(agent.address, 4, heard.append, lambda log: events.append(log.event))
+        discovery = Discovery(still(), agent.address, 4, heard.append, lambda log: events.append(log.event))
         discovery.begin()
         async with asyncio.timeout(5.0):
             while len(agent.got) < until:
