The laboratory: emulator, rules checker, seeds on a virtual clock, load, reports

Change: onyxpost/lab/, which the serving path never loads (a test says so). An emulator on a heap that hosts the module by its interface; eight scenarios in TOML, checked with places; a checker of the five rules, one planted breach a rule in the tests; whole nodes on an asyncio loop with virtual time and a network in memory, faults from a seed, failing seeds shrunk, five bugs to put in; stand-ins on loopback; open-loop load with HDR histograms; comparisons and plots. The command line stands on click. docs/lab.md has options, model, operation, limits; docs/ROADMAP.md what is next.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 build:
 	sh deploy/build.sh
 
-test: build
-	.venv/bin/python -m unittest discover -s tests -t .
+test: .ci-venv
+	.ci-venv/bin/python -m unittest discover -s tests -t .
 
 lint: .ci-venv
 	.ci-venv/bin/ruff check onyxpost tests
@@ -16,7 +16,7 @@
 run: build
 	EDGE_CONFIG=$(NODE) .venv/bin/python -m onyxpost serve
 
-.ci-venv: requirements.txt requirements-dev.txt
+.ci-venv: requirements.txt requirements-lab.txt requirements-dev.txt
 	test -d .ci-venv || python3 -m venv .ci-venv
 	.ci-venv/bin/pip -q install -r requirements-dev.txt
 	touch .ci-venv
--- a/onyxpost/cli.py
+++ b/onyxpost/cli.py
@@ -1,42 +1,70 @@
-"""The command line: `serve` runs one edge node, `check` reads what one would be told, `version`."""
+"""The command line. `serve` alone is also started by `__main__` without it."""
 
 from __future__ import annotations
 
-import argparse
-import asyncio
 import os
 import sys
-from functools import partial
+
+import click
 
 from onyxpost import __version__
-from onyxpost.deployment import Unreadable
-from onyxpost.edge import node
-from onyxpost.edge.log import Lines
-from onyxpost.edge.program import Program
-
-
-def main(arguments: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="onyxpost", description="Holds customers to their quotas.")
-    commands = parser.add_subparsers(dest="command", required=True)
-    commands.add_parser("serve", help="run one edge node, as the EDGE_ variables say")
-    check = commands.add_parser("check", help="read a node's JSON file and say whether it can be used")
-    check.add_argument("file", nargs="?", help="the file; without it the one that EDGE_CONFIG names")
-    commands.add_parser("version", help="print the version")
-    chosen = parser.parse_args(arguments)
-    if chosen.command == "version":
-        print(f"onyxpost {__version__}")
-        return 0
+
+
+class WithLab(click.Group):
+    """`lab` is there where its libraries are: nothing else imports them."""
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name != "lab":
+            return super().get_command(ctx, cmd_name)
+        try:
+            from onyxpost.lab.cli import lab
+        except ModuleNotFoundError as err:
+            ctx.fail(f"lab needs {err.name}: pip install -r requirements-lab.txt")
+        return lab
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return [*super().list_commands(ctx), "lab"]
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        rows = [(name, c.get_short_help_str(80)) for name, c in sorted(self.commands.items())]
+        rows.append(("lab", "Emulator, seeded faults, load and reports (its own libraries)."))
+        with formatter.section("Commands"):
+            formatter.write_dl(rows)
+
+
+@click.group(cls=WithLab, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="onyxpost", message="%(prog)s %(version)s")
+def main() -> None:
+    """Holds customers to their quotas before a shared back end."""
+
+
+@main.command()
+def serve() -> None:
+    """Run one edge node, as EDGE_CONFIG and the other EDGE_ variables say.
+
+    Exit 0: told to stop, and all answered. Exit 1: an address cannot be had. Exit 2: the file cannot be used.
+    """
+    from onyxpost.edge.serve import serve as run
+
+    sys.exit(run())
+
+
+@main.command()
+@click.argument("file", required=False)
+def check(file: str | None) -> None:
+    """Say whether a node's JSON FILE, or the one that EDGE_CONFIG names, can be used (else exit 2)."""
+    from onyxpost.deployment import Unreadable
+    from onyxpost.edge import node
+
     try:
-        file = getattr(chosen, "file", None)
         told = node.read({"EDGE_CONFIG": file} if file else os.environ)
     except Unreadable as err:
-        print(f"onyxpost: {err}", file=sys.stderr)
-        return 2
-    if chosen.command == "check":
-        print(f"{told.name}: {len(told.known.rows)} servers, {len(told.deployment.frontends)} frontends")
-        return 0
-    try:
-        return asyncio.run(Program(told, Lines(told.name), partial(node.read, os.environ, again=True)).run())
-    except OSError as err:  # an address that cannot be had
-        print(f"onyxpost: {err}", file=sys.stderr)
-        return 1
+        click.echo(f"onyxpost: {err}", err=True)
+        sys.exit(2)
+    click.echo(f"{told.name}: {len(told.known.rows)} servers, {len(told.deployment.frontends)} frontends")
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    click.echo(f"onyxpost {__version__}")
--- /dev/null
+++ b/onyxpost/lab/cluster.py
@@ -0,0 +1,264 @@
+"""A small installation on the virtual clock: whole edge nodes, app servers, discovery, clients, the rules.
+
+Everything but the edge nodes is a stand-in of ours that speaks the published protocol. Whatever happens is
+told to the rules checker at the moment in which it happens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from random import Random
+from typing import Any
+
+import h11
+
+from onyxpost.edge import messages as m
+from onyxpost.edge import node as nodes
+from onyxpost.edge.exchange import message
+from onyxpost.edge.program import Program
+from onyxpost.interface import Effect
+from onyxpost.lab.rules import ANSWERS, Rules
+from onyxpost.lab.standins import Agent, AppServer
+from onyxpost.lab.virtual import EPOCH, Hosted, Network
+
+SETTINGS: dict[str, Any] = {
+    "quantum_us": 1000, "discovery": "pushed",
+    "bounds": {"try_limit": 4, "parallel_tries": True, "cancelling": True, "peers": True, "retry_after": True,
+               "max_retry_after_us": 500_000, "connect_timeout_us": 200_000, "keepalive_us": 5_000_000},
+    "family_info": {"mail_per_s": 40.0, "most_units": 3},
+    "grades": [
+        {"name": "look", "aim_us": 300_000, "deadline_us": 900_000, "effect": "retryable"},
+        {"name": "post", "aim_us": 400_000, "deadline_us": 1_200_000, "effect": "dedup", "group": "zone",
+         "dedup_window_us": 500_000, "late_value": 0.2},
+        {"name": "pay", "aim_us": 400_000, "deadline_us": 1_200_000, "effect": "fragile", "late_value": 0.2},
+    ],
+    "packages": [
+        {"name": "open", "refill": 50.0, "depth": 100.0},
+        {"name": "tight", "refill": 4.0, "depth": 8.0, "cap_rate": 8.0, "ceiling_burst": 12.0},
+    ],
+    "rules": {"start_capacity": 0.2, "cold_us": 4_000_000, "fall_multiple": 4.0, "fall_us": 1_000_000,
+              "drain_grace_us": 100_000},
+}  # fmt: skip
+SLACK = 60.0  # ms beside each limit: the protocol's 50 and the way of a message
+LARGEST = 3
+HALLS = ("a", "b")
+
+
+class Lines:
+    """A node's log: an exception in it is a failure of the run."""
+
+    def __init__(self, cluster: Cluster, name: str) -> None:
+        self.cluster, self.name = cluster, name
+
+    def write(self, at: float, event: str, fields: dict[str, Any]) -> None:
+        self.cluster.logged.append((round(at - EPOCH, 3), self.name, event))
+        if event in ("fault", "overdue"):
+            cause = str(fields.get("cause", fields.get("req", "")))[-300:]
+            self.cluster.rules.breach(ANSWERS, at - EPOCH, self.name, "", "", f"{event}: {cause}")
+
+
+class Edge:
+    """One edge node's place: its lives follow each other at one address."""
+
+    def __init__(self, cluster: Cluster, number: int) -> None:
+        self.cluster, self.number, self.name = cluster, number, f"n{number}"
+        self.listen, self.peer = (f"10.0.0.{number}", 8081), (f"10.3.0.{number}", 7946)
+        self.agents = [
+            Agent(cluster.net.host(f"agent{number}"), cluster, number, (f"10.2.{place}.{number}", 8500))
+            for place in (0, 1)
+        ]
+        self.agent = 0
+        self.life = 0
+        self.program: Program | None = None
+        self.task: asyncio.Task[int] | None = None
+        self.net: Hosted
+
+    def told(self) -> nodes.Node:
+        settings = SETTINGS | {"ordinal": self.number, "n_instances": len(self.cluster.edges)}
+        return nodes.decode({
+            "name": self.name, "listen": "{}:{}".format(*self.listen),
+            "discovery": "{}:{}".format(*self.agents[self.agent].address),
+            "seed": f"{self.cluster.seed * 1000 + self.number * 100 + self.life:x}",
+            "limits": {"sockets": 256}, "peer_listen": "{}:{}".format(*self.peer),
+            "peers": ["{}:{}".format(*edge.peer) for edge in self.cluster.edges],
+            "known": {"generation": self.agents[self.agent].generation, "instances": self.known()},
+            "settings": settings,
+        })  # fmt: skip
+
+    def known(self) -> list[dict[str, Any]]:
+        return [row for row in self.agents[self.agent].held.values() if row["lifecycle"] != "removed"]
+
+    def start(self) -> None:
+        self.life += 1
+        self.net = self.cluster.net.host(f"{self.name}.{self.life}")
+        self.cluster.list_told(self.number, self.known())
+        program = self.program = Program(self.told(), Lines(self.cluster, self.name), self.told, self.net)  # type: ignore[arg-type]
+        if self.cluster.plant is not None:
+            self.cluster.plant(program)
+        self.task = asyncio.get_running_loop().create_task(program.run())
+
+    async def stop(self) -> None:
+        """SIGTERM; the next life starts when this one has gone."""
+        task, net = self.task, self.net
+        if task is None:
+            return
+        net.stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(3.0):
+                await asyncio.shield(task)
+        if self.task is task:
+            if not task.done():
+                at = self.cluster.now()
+                self.cluster.rules.breach(ANSWERS, at, self.name, "", "", "still there 3 s after SIGTERM")
+            self.kill()
+            self.start()
+
+    def kill(self) -> None:
+        """Outright: what it held is no longer its duty."""
+        self.cluster.rules.node_died(self.cluster.now(), self.name)
+        if self.task is not None:
+            self.task.cancel()
+        if self.program is not None:
+            for task in self.program.servers.tasks.values():
+                task.cancel()
+            self.program.discovery.close()
+            self.program.post = lambda value: None  # type: ignore[method-assign]
+            self.program.inbox.clear()
+            self.program.wake = lambda wake: None  # type: ignore[method-assign]
+            self.program.sweep = lambda: None  # type: ignore[method-assign]
+        self.cluster.net.die(self.net.name)
+        self.program = self.task = None
+
+
+class Cluster:
+    def __init__(self, seed: int, edges: int, servers: int, plant: Any = None) -> None:
+        self.seed, self.plant = seed, plant
+        self.net = Network(Random(f"{seed}/net"))
+        self.rules: Rules
+        self.logged: list[tuple[float, str, str]] = []
+        self.edges: list[Edge] = []
+        self.edges += [Edge(self, number) for number in range(edges)]
+        self.servers = [self.server(number, 0) for number in range(servers)]
+        self.lateness = 0.0
+        self.asked = self.passed = self.denied = self.aborted = self.left = 0
+        told = self.edges[0].told().deployment
+        self.frontends = {f.name: f for f in told.frontends}
+        self.plans = told.plans
+        self.rules = Rules(
+            grace=SETTINGS["rules"]["drain_grace_us"] / 1000.0, cold=told.cold_rule, plans=told.plans,
+            slack=SLACK, largest=LARGEST,
+        )  # fmt: skip
+        self.meta: dict[str, tuple[str, str]] = {}  # by trace: the plan, the node that last took it
+
+    def server(self, number: int, life: int) -> AppServer:
+        address, hall = (f"10.1.0.{number}", 9000), HALLS[number % len(HALLS)]
+        server = AppServer(self.net.host(""), self, number, life, address, hall)
+        server.net = self.net.host(server.host)
+        return server
+
+    def now(self) -> float:
+        return self.net.loop.time() * 1000.0
+
+    async def open(self) -> None:
+        for server in self.servers:
+            await server.open()
+        for edge in self.edges:
+            for agent in edge.agents:
+                for server in self.servers:
+                    agent.held[server.id] = server.row()
+                await agent.open()
+            edge.start()
+
+    # Told to the rules
+
+    def reached(self, writer: asyncio.StreamWriter, trace: str, server: AppServer) -> tuple[str, int]:
+        node = str(writer.transport.other.name).split(".")[0]  # type: ignore[attr-defined]
+        plan = self.meta.get(trace, ("", ""))[0]
+        self.rules.dispatched(
+            self.now(), node, trace, server.id, server.hall, server.number % 2, plan, self.now()
+        )
+        taken = self.rules.reqs.get((node, trace))
+        return node, len(taken.sent) - 1 if taken is not None else 0
+
+    def never_ran(self, node: str, trace: str, number: int) -> None:
+        self.rules.ended(self.now(), node, trace, number, True)
+
+    def list_told(self, number: int, rows: list[dict[str, Any]]) -> None:
+        for row in rows:
+            self.rules.list_told(
+                self.now(), f"n{number}", row["instanceId"], m.STANDINGS[row["lifecycle"]]
+            )
+
+    def change(self, server: AppServer) -> None:
+        """Each node's agents hear of it in their time."""
+        row = server.row()
+        for edge in self.edges:
+            for agent in edge.agents:
+                late = self.lateness + self.net.chance.uniform(0.01, 0.2)
+                self.net.loop.call_later(late, agent.learn, row)
+
+    # Clients
+
+    async def ask(
+        self, trace: str, edge: Edge, frontend: str, plan: str, customer: int, units: int, patience: float
+    ) -> str:
+        f = self.frontends[frontend]
+        method = "GET" if f.effect is Effect.REPLAYABLE else "POST"
+        headers = [
+            ("Host", "b"), ("X-Trace-Id", trace), ("Plan", plan), ("Cookie", f"key={customer:016x}"),
+            ("X-Expires-In", f"{f.client_timeout:.0f}m"),
+            ("Quota-Info", f"units={units},spread={len(self.edges)},first=0"),
+        ]  # fmt: skip
+        if method == "POST":
+            headers += [("Idempotency-Key", trace), ("Content-Length", "2")]
+        http = h11.Connection(h11.CLIENT)
+        head = h11.Request(method=method, target=f"/{frontend}/1", headers=headers)
+        request = message(http, head, b"xx" if method == "POST" else b"")
+        try:
+            reader, writer, _ = await self.net.dial("client", edge.listen, 65536)
+        except OSError:
+            return "refused"
+        began, life = self.now(), edge.life
+        self.asked += 1
+        self.meta[trace] = plan, edge.name
+        self.rules.taken(began, edge.name, trace, f, f"{customer:x}", units, began + f.client_timeout)
+        writer.write(request)
+        try:
+            async with asyncio.timeout(patience / 1000.0):
+                final = await self.heard(http, reader, trace)
+        except TimeoutError:
+            writer.transport.abort()
+            self.left += 1
+            self.rules.client_left(self.now(), edge.name, trace)
+            return "left"
+        except (OSError, h11.ProtocolError) as err:
+            if edge.life == life and edge.program is not None:
+                self.rules.breach(ANSWERS, self.now(), edge.name, trace, "", f"no whole answer: {err!r}")
+            return "cut"
+        writer.close()
+        if edge.life == life and edge.program is not None:
+            self.rules.answered(self.now(), edge.name, trace, final)
+        setattr(self, final, getattr(self, final) + 1)
+        return final
+
+    async def heard(self, http: h11.Connection, reader: asyncio.StreamReader, trace: str) -> str:
+        body, status = b"", 0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65536)
+                if not data and not status:
+                    raise ConnectionResetError("closed without an answer")
+                http.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                raise h11.RemoteProtocolError(f"{event!r}")
+        if status == 200 and body != b"page of " + trace.encode():
+            raise h11.RemoteProtocolError(f"passed {body!r}")
+        return "passed" if status == 200 else "denied" if status in (429, 503) else "aborted"
--- /dev/null
+++ b/onyxpost/lab/rules.py
@@ -0,0 +1,247 @@
+"""The five rules, checked after every step by whoever hosts a node: emulator, virtual clock or sockets.
+
+No I/O and no clock. The host tells what happened, at its own time in ms; a broken rule becomes a `Breach`
+that names the rule, req, node, server and time. What a node could know and what was so are both told: the
+rules on effects and drains go by what the node was told, the one on cold servers by what reached the server.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from onyxpost.interface import ColdRule, Effect, Frontend, Group, Plan, Standing
+
+ANSWERS, EFFECTS, DRAINS, COLD, CEILINGS = "answers", "effects", "drains", "cold", "ceilings"
+RULES = (ANSWERS, EFFECTS, DRAINS, COLD, CEILINGS)
+FINALS = ("passed", "denied", "aborted")
+
+
+class Breach(NamedTuple):
+    rule: str
+    at: float
+    node: str
+    req: str
+    server: str
+    what: str
+
+
+@dataclass(slots=True)
+class Sent:
+    server: str
+    hall: str
+    cell: int
+    at: float
+    may_have_run: bool = True
+
+
+@dataclass(slots=True)
+class Taken:
+    node: str
+    req: str
+    frontend: Frontend
+    customer: str
+    units: int
+    leaves: float
+    sent: list[Sent] = field(default_factory=list)
+    final: str = ""
+    left: bool = False  # the client has gone, or the node died: no answer is owed any more
+
+
+class Bucket:
+    """A ceiling: what all nodes together may still send on for one customer."""
+
+    def __init__(self, now: float, rate: float, burst: float, slack: float) -> None:
+        self.at, self.rate, self.burst, self.slack, self.level = now, rate, burst, slack, burst
+        self.lowest = burst
+
+    def draw(self, now: float, units: float) -> bool:
+        self.level = min(self.burst, self.level + self.rate * (now - self.at) / 1000.0) - units
+        self.at, self.lowest = now, min(self.lowest, self.level)
+        return self.level >= -self.slack
+
+
+class Starting:
+    """One server's life while it is cold, and the work that reached it of late."""
+
+    def __init__(self, started: float, capacity: float) -> None:
+        self.started, self.capacity = started, capacity
+        self.came: deque[tuple[float, float]] = deque()
+        self.sum = 0.0
+        self.told = False
+
+
+class Rules:
+    def __init__(
+        self, *, grace: float, cold: ColdRule, plans: Iterable[Plan], slack: float = 0.0,
+        ceiling_slack: float = 0.1, largest: int = 1,
+    ) -> None:  # fmt: skip
+        self.grace, self.cold, self.slack = grace, cold, slack
+        self.plans = {plan.name: plan for plan in plans}
+        self.ceiling_slack, self.largest = ceiling_slack, largest
+        self.breaches: list[Breach] = []
+        self.reqs: dict[tuple[str, str], Taken] = {}
+        self.owed: dict[tuple[str, str], Taken] = {}
+        self.told: dict[tuple[str, str], float] = {}  # (node, server): when first told not to send there
+        self.buckets: dict[str, Bucket] = {}
+        self.starting: dict[str, Starting] = {}
+        self.steps = 0
+
+    def breach(self, rule: str, at: float, node: str, req: str, server: str, what: str) -> None:
+        self.breaches.append(Breach(rule, at, node, req, server, what))
+
+    # What happens to reqs
+
+    def taken(
+        self, at: float, node: str, req: str, frontend: Frontend, customer: str, units: int, leaves: float
+    ) -> None:
+        self.steps += 1
+        self.reqs[node, req] = self.owed[node, req] = Taken(node, req, frontend, customer, units, leaves)
+
+    def dispatched(
+        self, at: float, node: str, req: str, server: str, hall: str = "", cell: int = 0,
+        plan: str = "", began: float | None = None,
+    ) -> None:  # fmt: skip
+        """Its last byte is at the server; `began`: when its first byte left."""
+        self.steps += 1
+        first_byte = at if began is None else began
+        told = self.told.get((node, server))
+        if told is not None and first_byte > told + self.grace + self.slack:
+            self.breach(DRAINS, at, node, req, server, f"sent {first_byte - told:.0f} ms after it was told")
+        taken = self.reqs.get((node, req))
+        if taken is None:
+            self.breach(ANSWERS, at, node, req, server, "sent on, but no client asked")
+            return
+        if taken.final:
+            self.breach(ANSWERS, at, node, req, server, f"sent on after it was {taken.final}")
+        self._effects(taken, at, server, hall, cell)
+        if not taken.sent and plan:
+            self._ceiling(taken, at, server, self.plans[plan])
+        taken.sent.append(Sent(server, hall, cell, first_byte))
+
+    def _effects(self, taken: Taken, at: float, server: str, hall: str, cell: int) -> None:
+        risky = next((sent for sent in taken.sent if sent.may_have_run), None)
+        if risky is None or taken.frontend.effect is Effect.REPLAYABLE:
+            return
+        node, req, f = taken.node, taken.req, taken.frontend
+        if f.effect is Effect.NON_REPLAYABLE:
+            what = f"sent again though it may have run at {risky.server}"
+            self.breach(EFFECTS, at, node, req, server, what)
+            return
+        here, there = (hall, risky.hall) if f.group is Group.HALL else (cell, risky.cell)
+        if f.group is not Group.ALL and here != there:
+            self.breach(EFFECTS, at, node, req, server, f"sent again outside of the group of {risky.server}")
+        if at > risky.at + f.repeat_window + self.slack:
+            late = at - risky.at - f.repeat_window
+            self.breach(EFFECTS, at, node, req, server, f"sent again {late:.0f} ms past the repeat window")
+
+    def ended(self, at: float, node: str, req: str, number: int, never_ran: bool) -> None:
+        """A dispatch ended; `never_ran`: its end proved so. Numbered among those that reached a server."""
+        self.steps += 1
+        taken = self.reqs.get((node, req))
+        if taken is not None and number < len(taken.sent) and never_ran:
+            taken.sent[number].may_have_run = False
+
+    def answered(self, at: float, node: str, req: str, final: str) -> None:
+        self.steps += 1
+        taken = self.reqs.get((node, req))
+        if taken is None or final not in FINALS:
+            self.breach(ANSWERS, at, node, req, "", f"{final}, but no client asked")
+            return
+        if taken.final:
+            self.breach(ANSWERS, at, node, req, "", f"{final} after it was {taken.final}")
+            return
+        taken.final = final
+        self.owed.pop((node, req), None)
+        if not taken.left and at > taken.leaves + self.slack:
+            self.breach(ANSWERS, at, node, req, "", f"{final} {at - taken.leaves:.0f} ms too late")
+        risky = next((sent for sent in taken.sent if sent.may_have_run), None)
+        f = taken.frontend
+        harmless = f.effect is Effect.REPLAYABLE or (f.effect is Effect.UNIQUED and f.group is Group.ALL)
+        if final == "denied" and risky is not None and not harmless:
+            self.breach(EFFECTS, at, node, req, risky.server, "denied though it may have run")
+
+    def client_left(self, at: float, node: str, req: str) -> None:
+        self.steps += 1
+        if taken := self.owed.pop((node, req), None):
+            taken.left = True
+
+    def node_died(self, at: float, node: str) -> None:
+        """What it held is no longer its duty, and its next life is told anew."""
+        for key in [key for key in self.owed if key[0] == node]:
+            self.owed.pop(key).left = True
+        for key in [key for key in self.told if key[0] == node]:
+            del self.told[key]
+
+    def forget(self, node: str, req: str) -> None:
+        """Nothing more can come of this req: a long run need not hold it."""
+        self.reqs.pop((node, req), None)
+
+    def check(self, now: float) -> None:
+        """After a step, and once more at the end: no one waits past their time."""
+        for key, taken in list(self.owed.items()):
+            if now > taken.leaves + self.slack:
+                self.breach(ANSWERS, now, taken.node, taken.req, "", "no answer by the client timeout")
+                taken.left = True
+                del self.owed[key]
+
+    # Servers
+
+    def list_told(self, at: float, node: str, server: str, standing: Standing) -> None:
+        self.steps += 1
+        if standing is Standing.READY:
+            self.told.pop((node, server), None)
+        else:
+            self.told.setdefault((node, server), at)
+
+    def server_started(self, at: float, server: str, capacity: float) -> None:
+        """`capacity`: ms of work that it does in one ms when warm."""
+        self.starting[server] = Starting(at, capacity)
+
+    def server_gone(self, server: str) -> None:
+        self.starting.pop(server, None)
+
+    def work_came(self, at: float, server: str, work: float, node: str = "", req: str = "") -> bool:
+        """False: it was pushed over, by all nodes together; `work` in ms of a warm core."""
+        self.steps += 1
+        one = self.starting.get(server)
+        if one is None:
+            return True
+        rule, age = self.cold, at - one.started
+        if age >= rule.warm_ms:
+            del self.starting[server]
+            return True
+        one.came.append((at, work))
+        one.sum += work
+        while one.came and one.came[0][0] <= at - rule.window_ms:
+            one.sum -= one.came.popleft()[1]
+        share = max(rule.start_share, age / rule.warm_ms)
+        able = one.capacity * share * rule.window_ms * rule.multiple
+        if one.sum > able and not one.told:
+            one.told = True
+            self.breach(COLD, at, node, req, server, f"{one.sum:.0f} ms of work where {able:.0f} is the most")
+        return one.sum <= able
+
+    def cold_load(self, server: str) -> float:
+        """The part of the most that a cold server bears which reached it of late."""
+        one = self.starting.get(server)
+        if one is None or not one.came:
+            return 0.0
+        share = max(self.cold.start_share, (one.came[-1][0] - one.started) / self.cold.warm_ms)
+        return one.sum / (one.capacity * share * self.cold.window_ms * self.cold.multiple)
+
+    # Ceilings
+
+    def _ceiling(self, taken: Taken, at: float, server: str, plan: Plan) -> None:
+        if not plan.ceiling_rate:
+            return
+        bucket = self.buckets.get(taken.customer)
+        if bucket is None:
+            slack = max(self.ceiling_slack * plan.ceiling_burst, self.largest)
+            bucket = self.buckets[taken.customer] = Bucket(at, plan.ceiling_rate, plan.ceiling_burst, slack)
+        if not bucket.draw(at, taken.units):
+            over = -bucket.level
+            what = f"customer {taken.customer} is {over:.1f} units past its ceiling"
+            self.breach(CEILINGS, at, taken.node, taken.req, server, what)
--- /dev/null
+++ b/onyxpost/lab/runs.py
@@ -0,0 +1,107 @@
+"""Many seeds of one scenario on several processes; the same bytes whatever their number."""
+
+from __future__ import annotations
+
+import contextlib
+import multiprocessing
+import signal
+import time
+from collections.abc import Iterable, Iterator
+from concurrent.futures import Future, ProcessPoolExecutor
+from typing import Any
+
+from onyxpost import logic
+from onyxpost.lab.fleet import World, lines
+from onyxpost.lab.results import encode
+from onyxpost.lab.scenario import Scenario, Unusable, packed, unpacked
+
+SEED_MOST = 2**32 - 1
+
+
+def seeds(text: str) -> list[int]:
+    """`7`, `1-20` or `1,4,9-12`."""
+    found: list[int] = []
+    try:
+        for part in text.split(","):
+            low, _, high = part.partition("-")
+            first, last = int(low), int(high or low)
+            if not 0 <= first <= last <= SEED_MOST or last - first >= 1_000_000:
+                raise ValueError
+            found += range(first, last + 1)
+    except ValueError:
+        raise Unusable(f"seeds {text!r}: numbers from 0 to {SEED_MOST}, as in 1-20 or 1,4,9-12") from None
+    return list(dict.fromkeys(found))
+
+
+Changes = dict[str, float]  # constants of the module, as "Theta.PERIOD", tried at other values
+
+
+def changes(words: Iterable[str]) -> Changes:
+    """`Theta.PERIOD=250` and the like; only what the module has can be tried."""
+    found: Changes = {}
+    for word in words:
+        name, _, value = word.partition("=")
+        try:
+            found[name] = float(value)
+            owner, constant = _constant(name)
+            if not isinstance(getattr(owner, constant), int | float):
+                raise TypeError(name)
+        except (ValueError, AttributeError, TypeError):
+            why = "a constant of the module and a number, as in Theta.PERIOD=250"
+            raise Unusable(f"{word!r}: {why}") from None
+    return found
+
+
+def _constant(name: str) -> tuple[Any, str]:
+    owner, _, constant = name.rpartition(".")
+    if not constant.isupper():
+        raise ValueError(name)
+    return (getattr(logic, owner) if owner else logic), constant
+
+
+@contextlib.contextmanager
+def tried(changed: Changes) -> Iterator[None]:
+    before = {}
+    for name, value in changed.items():
+        owner, constant = _constant(name)
+        before[name] = getattr(owner, constant)
+        setattr(owner, constant, type(before[name])(value))
+    try:
+        yield
+    finally:
+        for name, value in before.items():
+            owner, constant = _constant(name)
+            setattr(owner, constant, value)
+
+
+def one(text: bytes, seed: int, changed: Changes) -> tuple[bytes, float]:
+    began = time.perf_counter()
+    with tried(changed):
+        world = World(unpacked(text, "scenario"), seed)
+        world.play()
+    return encode(lines(world)), time.perf_counter() - began
+
+
+def _quiet() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # an interrupt is the parent's to handle
+
+
+def many(
+    scenario: Scenario, chosen: list[int], jobs: int, changed: Changes | None = None
+) -> Iterator[tuple[int, bytes, float]]:
+    """In the seeds' order, as each is done."""
+    text = packed(scenario)
+    if jobs <= 1:
+        for seed in chosen:
+            yield seed, *one(text, seed, changed or {})
+        return
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(jobs, mp_context=context, initializer=_quiet) as pool:
+        waiting: list[tuple[int, Future[tuple[bytes, float]]]] = [
+            (seed, pool.submit(one, text, seed, changed or {})) for seed in chosen
+        ]
+        try:
+            for seed, future in waiting:
+                yield seed, *future.result()
+        finally:
+            pool.shutdown(wait=True, cancel_futures=True)
--- /dev/null
+++ b/onyxpost/lab/servers.py
@@ -0,0 +1,124 @@
+"""App servers of the emulator: cores, queues, connections, cold starts, and the ways in which they fail."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from onyxpost.interface import ColdRule, ListRow, Result, Standing
+from onyxpost.lab.clockwork import Clockwork
+from onyxpost.lab.rules import Rules
+from onyxpost.lab.scenario import Fleet
+
+QUICK = 2.0  # ms in which a server fails a req or turns it away
+
+
+class Flight(Protocol):
+    """One dispatch, as a server sees it."""
+
+    work: float
+    over: bool
+
+    def back(self, result: Result) -> None: ...
+    def name(self) -> tuple[str, str]: ...
+
+
+class Server:
+    def __init__(
+        self, clock: Clockwork, rules: Rules, fleet: Fleet, cold: ColdRule, chance: Random, sid: str,
+        hall: int, cell: int, speed: float, started: float,
+    ) -> None:  # fmt: skip
+        self.clock, self.rules, self.fleet, self.cold, self.chance = clock, rules, fleet, cold, chance
+        self.id, self.hall, self.cell, self.speed, self.started = sid, hall, cell, speed, started
+        self.standing, self.alive, self.fell = Standing.READY, True, False
+        self.slow, self.fails, self.loses, self.hung = 1.0, 0.0, 0.0, False
+        self.waiting: deque[Flight] = deque()
+        self.holds: dict[Flight, None] = {}  # waiting, running or hung
+        self.running = self.connections = self.handshakes = self.refused = 0
+        self.on_death: list[Callable[[Server], None]] = []
+        if started > 0.0:
+            rules.server_started(started, sid, fleet.cores * speed)
+
+    def row(self, epoch: float) -> ListRow:
+        started = epoch + self.started if self.started > 0.0 else 0.0
+        return ListRow(self.id, f"h{self.hall}", self.cell, self.standing, 1.0, started)
+
+    def warmth(self) -> float:
+        age = self.clock.now - self.started
+        if self.started <= 0.0 or age >= self.cold.warm_ms:
+            return 1.0
+        return max(self.cold.start_share, age / self.cold.warm_ms)
+
+    def connect(self) -> bool:
+        if not self.alive or self.connections >= self.fleet.connections:
+            self.refused += 1
+            return False
+        self.connections += 1
+        self.handshakes += 1
+        return True
+
+    def take(self, flight: Flight) -> None:
+        """A req's last byte is here."""
+        if self.standing is Standing.DRAINING or len(self.waiting) >= self.fleet.queue:
+            self.clock.after(QUICK, flight.back, Result.FULL)
+            return
+        node, req = flight.name()
+        if not self.rules.work_came(self.clock.now, self.id, flight.work, node, req):
+            self.fell = True
+            self.die()
+            flight.back(Result.LOST)
+            return
+        if self.fails and self.chance.random() < self.fails:
+            self.clock.after(QUICK, flight.back, Result.ERROR)
+            return
+        self.holds[flight] = None
+        if self.hung:
+            return
+        if self.running < self.fleet.cores:
+            self.start(flight)
+        else:
+            self.waiting.append(flight)
+
+    def start(self, flight: Flight) -> None:
+        self.running += 1
+        self.clock.after(flight.work * self.slow / (self.speed * self.warmth()), self.ran, flight)
+
+    def ran(self, flight: Flight) -> None:
+        if not self.alive:
+            return
+        self.running -= 1
+        if flight in self.holds:
+            del self.holds[flight]
+            lost = bool(self.loses) and self.chance.random() < self.loses
+            flight.back(Result.LOST if lost else Result.OK)
+        while self.waiting and self.running < self.fleet.cores:
+            following = self.waiting.popleft()
+            if following in self.holds:
+                self.start(following)
+
+    def drop(self, flight: Flight) -> None:
+        """The node gave up: what waits is dropped, what runs runs on."""
+        self.holds.pop(flight, None)
+
+    def hang(self, hung: bool) -> None:
+        if hung and not self.hung:  # what runs is lost with the rest
+            self.waiting.clear()
+        self.hung = hung
+
+    def die(self) -> None:
+        if not self.alive:
+            return
+        self.alive = False
+        self.rules.server_gone(self.id)
+        held, self.holds = list(self.holds), {}
+        self.waiting.clear()
+        self.connections = self.running = 0
+        for told in self.on_death:
+            told(self)
+        for flight in held:
+            flight.back(Result.LOST)
+
+    def as_dict(self) -> dict[str, Any]:
+        return {"server": self.id, "hall": self.hall, "handshakes": self.handshakes, "fell": self.fell}
--- /dev/null
+++ b/onyxpost/lab/stand.py
@@ -0,0 +1,141 @@
+"""Stand-in app servers and discovery on loopback for one node, with faults scripted in a TOML file."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+import orjson
+from msgspec import Meta
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.net import Sockets
+from onyxpost.interface import Standing
+from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.standins import Agent, AppServer, Nobody
+
+Kind = Literal["hang", "fail", "busy", "drop", "slow", "spoil", "drain", "crash", "discovery-silent"]
+
+
+class Fault(msgspec.Struct, forbid_unknown_fields=True):
+    at_s: Annotated[float, Meta(ge=0.0)]
+    kind: Kind
+    for_s: Annotated[float, Meta(gt=0.0)] = 1.0
+    server: Annotated[int, Meta(ge=0)] = 0
+    delay_ms: Annotated[float, Meta(ge=0.0)] = 1000.0  # of a slow one
+
+
+class Script(msgspec.Struct, forbid_unknown_fields=True):
+    faults: list[Fault] = []
+
+
+def script(path: Path, servers: int) -> Script:
+    try:
+        told = msgspec.toml.decode(path.read_bytes(), type=Script)
+    except msgspec.DecodeError as err:
+        raise Unusable(f"{path}: {err}") from err
+    except OSError as err:
+        raise Unusable(f"{path}: {err.strerror}") from err
+    for i, fault in enumerate(told.faults):
+        if fault.server >= servers:
+            why = f"there are {servers} servers, numbered from 0"
+            raise Unusable(f"{path}: {why} - at `$.faults[{i}].server`")
+    return told
+
+
+class Stand:
+    """What one node speaks to, on addresses of 127.0.0.1."""
+
+    def __init__(self, servers: int, delay: float, first_port: int, discovery: m.Address) -> None:
+        self.net, self.first_port = Sockets(), first_port
+        self.agent = Agent(self.net, Nobody(), 0, discovery)
+        self.servers = [self.server(number, 0, delay) for number in range(servers)]
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def server(self, number: int, life: int, delay: float) -> AppServer:
+        port = self.first_port + number if self.first_port else 0
+        server = AppServer(self.net, Nobody(), number, life, ("127.0.0.1", port), "ab"[number % 2])
+        server.delay = delay
+        return server
+
+    async def open(self) -> None:
+        for server in self.servers:
+            await self.listen(server)
+        await self.agent.open()
+        assert self.agent.listener is not None
+        self.agent.address = self.agent.listener.sockets[0].getsockname()
+
+    async def listen(self, server: AppServer) -> None:
+        await server.open()
+        assert server.listener is not None
+        server.address = server.listener.sockets[0].getsockname()
+        self.agent.learn(server.row())
+
+    def known(self) -> dict[str, Any]:
+        return {"generation": self.agent.generation, "instances": list(self.agent.held.values())}
+
+    def play(self, told: Script, log: Callable[[str], None]) -> None:
+        loop = asyncio.get_running_loop()
+        for fault in told.faults:
+            loop.call_later(fault.at_s, self.begin, fault, log)
+
+    def begin(self, fault: Fault, log: Callable[[str], None]) -> None:
+        log(f"{fault.kind} at server {fault.server} for {fault.for_s:g} s")
+        server, loop = self.servers[fault.server], asyncio.get_running_loop()
+        match fault.kind:
+            case "slow":
+                before, server.delay = server.delay, fault.delay_ms
+                loop.call_later(fault.for_s, setattr, server, "delay", before)
+            case "spoil":
+                server.spoil += ["short", "twice", "noise", "long"]
+            case "discovery-silent":
+                self.agent.silent = True
+                loop.call_later(fault.for_s, setattr, self.agent, "silent", False)
+            case "drain" | "crash":
+                if fault.kind == "drain":
+                    server.standing = Standing.DRAINING
+                    self.agent.learn(server.row())
+                elif server.listener is not None:
+                    server.listener.close()
+                loop.call_later(fault.for_s, self.renew, fault.server)
+            case how:
+                server.how = how
+                loop.call_later(fault.for_s, setattr, server, "how", "serve")
+
+    def renew(self, number: int) -> None:
+        old = self.servers[number]
+        if old.listener is not None:
+            old.listener.close()
+        old.standing = Standing.GONE
+        self.agent.learn(old.row())
+        new = self.servers[number] = self.server(number, old.life + 1, old.delay)
+        new.address, new.started = ("127.0.0.1", 0), time.time() * 1000.0
+        task = asyncio.get_running_loop().create_task(self.listen(new))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def write_node(example: Path, out: Path, stand: Stand) -> None:
+    """The example node's file, with these stand-ins as its discovery and its known list."""
+    try:
+        fields = orjson.loads(example.read_bytes())
+        fields |= {"discovery": "{}:{}".format(*stand.agent.address), "known": stand.known()}
+        out.write_bytes(orjson.dumps(fields, option=orjson.OPT_INDENT_2))
+    except (OSError, ValueError, TypeError) as err:
+        raise Unusable(f"{example}: {err}") from err
+
+
+async def run(
+    stand: Stand, told: Script, seconds: float, ready: Callable[[], None], log: Callable[[str], None]
+) -> int:
+    await stand.open()
+    ready()
+    stand.play(told, log)
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.sleep(seconds)
+    return sum(server.served for server in stand.servers)
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,44 @@
+"""The command line as a stranger meets it, and what a node that serves must not load."""
+
+import os
+import subprocess
+import sys
+import unittest
+
+from click.testing import CliRunner
+
+from onyxpost.cli import main
+
+HEAVY = ("click", "msgspec", "matplotlib", "numpy", "hdrh", "onyxpost.lab", "onyxpost.cli", "argparse")
+PROBE = """
+import sys, onyxpost.edge.serve
+print(*sorted(name for name in sys.modules if name.split(".")[0] in {0} or name in {0}))
+"""
+
+
+class CommandLine(unittest.TestCase):
+    def test_a_node_that_serves_loads_no_tool(self) -> None:
+        probe = [sys.executable, "-c", PROBE.format(HEAVY)]
+        loaded = subprocess.run(probe, capture_output=True, text=True, check=True).stdout.split()
+        self.assertEqual(loaded, [])
+
+    def test_a_file_that_cannot_be_used_is_one_line_and_exit_2_by_both_ways_in(self) -> None:
+        environ = {**os.environ, "EDGE_CONFIG": "/no/such"}
+        for words in (["serve"], ["check"], ["check", "/no/such"]):
+            found = subprocess.run(
+                [sys.executable, "-m", "onyxpost", *words], env=environ, capture_output=True, text=True
+            )
+            self.assertEqual((found.returncode, found.stderr.count("\n")), (2, 1), found.stderr)
+            self.assertIn("/no/such", found.stderr)
+
+    def test_help_names_every_command(self) -> None:
+        top = CliRunner().invoke(main, ["--help"]).output
+        for name in ("serve", "check", "version", "lab"):
+            self.assertIn(name, top)
+        lab = CliRunner().invoke(main, ["lab", "--help"]).output
+        for name in ("run", "seeds", "load", "stand", "compare", "scenarios"):
+            self.assertIn(name, lab)
+
+    def test_the_example_can_be_used(self) -> None:
+        found = CliRunner().invoke(main, ["check", "deploy/example-node.json"])
+        self.assertEqual((found.exit_code, found.output), (0, "n0: 1 servers, 1 frontends\n"))
