A node's file and lists are read by types, errors name their place; the log has levels

Change: msgspec in orjson's place, with types for the file, settings and lists; addresses and seed named with their place; the standard library's logging behind the same JSON lines, with a level, also for what asyncio says; `log_level`.

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta
 
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, Plan
 from onyxpost.logic import Gateway
 
 Fields = dict[str, Any]
+T = TypeVar("T")
 
 EFFECTS = {"retryable": Effect.REPLAYABLE, "dedup": Effect.UNIQUED, "fragile": Effect.NON_REPLAYABLE}
 GROUPS = {"all": Group.ALL, "zone": Group.HALL, "cell": Group.CELL}
@@ -43,71 +47,139 @@
         )  # fmt: skip
 
 
-def decode(params: Fields) -> Deployment:
-    try:
-        return _decode(params)
-    except (KeyError, TypeError, ValueError, AttributeError) as err:
-        raise Unreadable(f"settings: {type(err).__name__}: {err}") from err
+class Given(msgspec.Struct, kw_only=True):
+    """What an operator's file or the simulator's wire gives. What else it says is passed over."""
+
+
+class GivenBounds(Given):
+    try_limit: Annotated[int, Meta(ge=1)] = 1
+    parallel_tries: bool = False
+    cancelling: bool = False
+    peers: bool = False
+    retry_after: bool = False
+    max_retry_after_us: float = 0.0
+    connect_timeout_us: float | None = None
+    keepalive_us: float = 0.0
+
+
+class GivenFamily(Given):
+    mail_per_s: float = 0.0
+    most_units: int = 0
+
+
+class GivenRules(Given):
+    start_capacity: float = 1.0
+    cold_us: float = 0.0
+    fall_multiple: float = 1.0
+    fall_us: float = 0.0
+    drain_grace_us: float = 250_000.0
+
 
+class GivenFrontend(Given):
+    name: str
+    aim_us: Annotated[float, Meta(gt=0.0)]
+    deadline_us: Annotated[float, Meta(gt=0.0)]
+    effect: Literal["retryable", "dedup", "fragile"] = "fragile"
+    group: Literal["all", "zone", "cell"] = "cell"
+    dedup_window_us: float = 0.0
+    worth: float = 1.0
+    late_value: float = 0.0
+    aim_stretch: float | None = None
+    streamed: bool = False
 
-def _decode(params: Fields) -> Deployment:
-    bounds, family, rules = params["bounds"], params.get("family_info", {}), params["rules"]
-    if not params["grades"] or not 0 <= params["ordinal"] < params["n_instances"]:
-        raise ValueError("no grades, or an ordinal outside of n_instances")
-    grace, tries = rules.get("drain_grace_us", 250_000), bounds.get("try_limit", 1)
-    shortest = min(grade["deadline_us"] for grade in params["grades"])
+
+class GivenPlan(Given):
+    name: str
+    refill: float = 0.0
+    depth: float = 0.0
+    open: int = 0
+    worth_factor: float = 1.0
+    cap_rate: float = 0.0
+    ceiling_burst: float = 0.0
+
+
+class GivenDeployment(Given):
+    ordinal: Annotated[int, Meta(ge=0)]
+    n_instances: Annotated[int, Meta(ge=1)]
+    bounds: GivenBounds
+    rules: GivenRules
+    grades: Annotated[list[GivenFrontend], Meta(min_length=1)]
+    packages: list[GivenPlan] = []
+    family_info: GivenFamily = msgspec.field(default_factory=GivenFamily)
+    quantum_us: float = 0.0
+    discovery: str = ""
+
+
+def decode(params: Any) -> Deployment:
+    return made(typed(params, GivenDeployment, "settings"))
+
+
+def typed(data: Any, kind: type[T], where: str) -> T:
+    """What was read, checked key by key: an error names its place."""
+    try:
+        if isinstance(data, bytes):
+            return msgspec.json.decode(data, type=kind)
+        return msgspec.convert(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise Unreadable(f"{where}: {err}") from err
+
+
+def made(given: GivenDeployment) -> Deployment:
+    bounds, rules = given.bounds, given.rules
+    if given.ordinal >= given.n_instances:
+        raise Unreadable(f"{given.ordinal} of {given.n_instances} nodes, numbered from 0 - at `$.ordinal`")
+    grace, connect = rules.drain_grace_us, bounds.connect_timeout_us
+    shortest = min(grade.deadline_us for grade in given.grades)
     return Deployment(
-        number=params["ordinal"],
-        nodes=params["n_instances"],
-        tick=params.get("quantum_us", 0) / 1000.0,
-        frontends=[_frontend(grade) for grade in params["grades"]],
-        plans=[_plan(package) for package in params.get("packages", [])],
+        number=given.ordinal,
+        nodes=given.n_instances,
+        tick=given.quantum_us / 1000.0,
+        frontends=[_frontend(grade) for grade in given.grades],
+        plans=[_plan(package) for package in given.packages],
         cold_rule=ColdRule(
-            rules.get("start_capacity", 1.0),
-            rules.get("cold_us", 0) / 1000.0,
-            rules.get("fall_multiple", 1.0),
-            rules.get("fall_us", 0) / 1000.0,
+            rules.start_capacity, rules.cold_us / 1000.0, rules.fall_multiple, rules.fall_us / 1000.0
         ),
         allowed=Allowed(
-            tries,
-            bounds.get("parallel_tries", False),
-            bounds.get("cancelling", False),
-            bounds.get("peers", False),
-            bounds.get("max_retry_after_us", 0) / 1000.0 if bounds.get("retry_after", False) else 0.0,
-            family.get("mail_per_s", 0.0),
+            bounds.try_limit,
+            bounds.parallel_tries,
+            bounds.cancelling,
+            bounds.peers,
+            bounds.max_retry_after_us / 1000.0 if bounds.retry_after else 0.0,
+            given.family_info.mail_per_s,
         ),
-        must_ask=params.get("discovery") == "on_request",
+        must_ask=given.discovery == "on_request",
         drain_grace=grace / 1000.0,
         # One dispatch may wait for its connection no longer than a drain's grace: it could begin past it; and
         # all that a req may have must have failed to connect within half of its time.
-        connect_timeout=min(bounds.get("connect_timeout_us", grace), grace, shortest / 2 / tries) / 1000.0,
-        keep_alive=bounds.get("keepalive_us", 0) / 1000.0,
-        units_most=family.get("most_units", 0),
+        connect_timeout=min(grace if connect is None else connect, grace, shortest / 2 / bounds.try_limit)
+        / 1000.0,
+        keep_alive=bounds.keepalive_us / 1000.0,
+        units_most=given.family_info.most_units,
     )
 
 
-def _frontend(grade: Fields) -> Frontend:
+def _frontend(grade: GivenFrontend) -> Frontend:
     return Frontend(
-        grade["name"],
-        grade["aim_us"] / 1000.0,
-        grade["deadline_us"] / 1000.0,
-        EFFECTS[grade.get("effect", "fragile")],
-        GROUPS[grade.get("group", "cell")],
-        grade.get("dedup_window_us", 0) / 1000.0,
-        grade.get("worth", 1.0),
-        grade.get("late_value", 0.0),
-        grade.get("aim_stretch", 0.0) or 0.0,
-        grade.get("streamed", False),
+        grade.name,
+        grade.aim_us / 1000.0,
+        grade.deadline_us / 1000.0,
+        EFFECTS[grade.effect],
+        GROUPS[grade.group],
+        grade.dedup_window_us / 1000.0,
+        grade.worth,
+        grade.late_value,
+        grade.aim_stretch or 0.0,
+        grade.streamed,
     )
 
 
-def _plan(package: Fields) -> Plan:
+def _plan(package: GivenPlan) -> Plan:
     return Plan(
-        package["name"],
-        package.get("refill", 0.0),
-        package.get("depth", 0.0),
-        package.get("open", 0),
-        package.get("worth_factor", 1.0),
-        package.get("cap_rate", 0.0),
-        package.get("ceiling_burst", 0.0),
+        package.name,
+        package.refill,
+        package.depth,
+        package.open,
+        package.worth_factor,
+        package.cap_rate,
+        package.ceiling_burst,
     )
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 
@@ -70,7 +71,8 @@
                 self.asked.set()
                 if not self.down and address == self.address:
                     self.down = True
-                    self.log(m.Log("discovery down", {"cause": f"{type(err).__name__}: {err}"[:200]}))
+                    cause = {"cause": f"{type(err).__name__}: {err}"[:200]}
+                    self.log(m.Log("discovery down", cause, logging.WARNING))
                     self.post(m.ListFailed())
                 await asyncio.sleep(AGAIN / 1000.0)
 
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 import re
 import traceback
 from enum import Enum
-from typing import Any, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 import h11
-import orjson
 
-from onyxpost.deployment import Deployment, Unreadable
+from onyxpost.deployment import Deployment, Given, Unreadable, typed
 from onyxpost.interface import Effect, ListRow, Result, Standing
 
 BODY_MOST = 64 * 1024
@@ -156,11 +156,12 @@
 class Log(NamedTuple):
     event: str
     fields: dict[str, Any]
+    level: int = logging.INFO
 
 
 def fault(where: str, err: BaseException | None) -> Log:
     cause = "".join(traceback.format_exception(err)) if err is not None else ""
-    return Log("fault", {"at": where, "cause": cause[-4000:]})
+    return Log("fault", {"at": where, "cause": cause[-4000:]}, logging.ERROR)
 
 
 Outgoing = Send | Close | Withdraw | Leave | Answer | Tell | Wake | Watch | Log
@@ -285,30 +286,41 @@
     return host, int(port)
 
 
+class Row(Given):
+    """One server as discovery tells of it."""
+
+    instanceId: str
+    lifecycle: Literal["up", "draining", "removed"]
+    hostPort: str | None = None
+    zone: str | None = None
+    cell: int | None = None
+    weight: float | None = None
+    startedAtMs: float | None = None
+
+
+class Rows(Given):
+    generation: int
+    instances: list[Row]
+    reset: bool = False
+
+
 def listed(data: Any) -> Listed:
     """`data`: a list as discovery sends it, or its text."""
+    return told(typed(data, Rows, "list of servers"))
+
+
+def told(rows: Rows) -> Listed:
     try:
-        fields = orjson.loads(data) if isinstance(data, bytes) else data
-        rows: list[dict[str, Any]] = fields["instances"]
-        return Listed(
-            int(fields["generation"]),
-            bool(fields.get("reset", False)),
-            [_row(row) for row in rows],
-            {row["instanceId"]: address(row["hostPort"]) for row in rows if row.get("hostPort")},
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as err:
-        raise Unreadable(f"list of servers: {type(err).__name__}: {err}") from err
-
-
-def _row(row: dict[str, Any]) -> ListRow:
-    return ListRow(
-        row["instanceId"],
-        row.get("zone", ""),
-        row.get("cell", 0),
-        STANDINGS[row["lifecycle"]],
-        row.get("weight", 1.0),
-        float(row.get("startedAtMs", 0)),
-    )
+        addresses = {row.instanceId: address(row.hostPort) for row in rows.instances if row.hostPort}
+    except ValueError as err:
+        raise Unreadable(f"list of servers: {err}") from err
+    return Listed(rows.generation, rows.reset, [_row(row) for row in rows.instances], addresses)
+
+
+def _row(row: Row) -> ListRow:
+    weight = 1.0 if row.weight is None else row.weight
+    standing = STANDINGS[row.lifecycle]
+    return ListRow(row.instanceId, row.zone or "", row.cell or 0, standing, weight, row.startedAtMs or 0.0)
 
 
 # To and from peers
--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any, Literal
 
-import orjson
+import msgspec
+from msgspec import Meta
 
-from onyxpost import deployment
-from onyxpost.deployment import Deployment, Unreadable
+from onyxpost.deployment import Deployment, Given, GivenDeployment, Unreadable, made, typed
 from onyxpost.edge import messages as m
 
 
@@ -24,9 +24,30 @@
     peer_listen: m.Address | None
     peers: list[m.Address]
     known: m.Listed
+    log_level: str
     deployment: Deployment
 
 
+class Limits(Given):
+    sockets: Annotated[int, Meta(ge=8)] = 1024
+
+
+class File(Given):
+    """A node's file. What else it says is passed over."""
+
+    name: str
+    listen: str
+    discovery: str
+    seed: str
+    known: m.Rows
+    settings: GivenDeployment
+    limits: Limits = msgspec.field(default_factory=Limits)
+    peer_listen: str | None = None
+    peers: list[str] = msgspec.field(default_factory=list)
+    discovery_too: str | None = None
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
 def read(environ: Mapping[str, str], again: bool = False) -> Node:
     """The file that `EDGE_CONFIG` names; the other variables come before what it says, but read again, it is
     newer than they are."""
@@ -35,43 +56,47 @@
         raise Unreadable("EDGE_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            fields = orjson.loads(file.read())
+            fields = typed(file.read(), dict[str, Any], path)
     except OSError as err:
         raise Unreadable(f"{path}: {err.strerror}") from err
-    except orjson.JSONDecodeError as err:
-        raise Unreadable(f"{path}: not JSON: {err}") from err
-    if not isinstance(fields, dict):
-        raise Unreadable(f"{path}: not an object")
     in_file = fields.get("discovery")
     for variable, name in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
         if environ.get(variable) and not (again and name in fields):
             fields[name] = environ[variable]
     if in_file is not None and in_file != fields.get("discovery"):
         fields["discovery_too"] = in_file  # moved while this node was down, one of them is closed by now
-    try:
-        return decode(fields)
-    except Unreadable as err:
-        raise Unreadable(f"{path}: {err}") from err
+    return decode(fields, path)
 
 
-def decode(fields: dict[str, Any]) -> Node:
+def decode(fields: dict[str, Any], where: str = "node") -> Node:
+    file = typed(fields, File, where)
     try:
-        return _node(fields)
-    except (KeyError, TypeError, ValueError, AttributeError) as err:
-        raise Unreadable(f"{type(err).__name__}: {err}") from err
+        return _node(file)
+    except Unreadable as err:
+        raise Unreadable(f"{where}: {err}") from err
 
 
-def _node(fields: dict[str, Any]) -> Node:
-    peer_listen = fields.get("peer_listen")
+def _node(file: File) -> Node:
+    def address(place: str, text: str) -> m.Address:
+        try:
+            return m.address(text)
+        except ValueError as err:
+            raise Unreadable(f"{err} - at `$.{place}`") from err
+
+    try:
+        seed = int(file.seed, 16)
+    except ValueError:
+        raise Unreadable(f"no hexadecimal number: {file.seed!r} - at `$.seed`") from None
     return Node(
-        name=str(fields["name"]),
-        listen=m.address(fields["listen"]),
-        discovery=m.address(fields["discovery"]),
-        discovery_too=m.address(fields["discovery_too"]) if "discovery_too" in fields else None,
-        seed=int(fields["seed"], 16),
-        descriptors=int(fields.get("limits", {}).get("sockets", 1024)),
-        peer_listen=m.address(peer_listen) if peer_listen else None,
-        peers=[m.address(peer) for peer in fields.get("peers", [])],
-        known=m.listed(fields["known"] | {"reset": True}),
-        deployment=deployment.decode(fields["settings"]),
+        name=file.name,
+        listen=address("listen", file.listen),
+        discovery=address("discovery", file.discovery),
+        discovery_too=address("discovery", file.discovery_too) if file.discovery_too else None,
+        seed=seed,
+        descriptors=file.limits.sockets,
+        peer_listen=address("peer_listen", file.peer_listen) if file.peer_listen else None,
+        peers=[address(f"peers[{i}]", peer) for i, peer in enumerate(file.peers)],
+        known=m.told(file.known)._replace(complete=True),
+        log_level=file.log_level,
+        deployment=made(file.settings),
     )
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
@@ -114,7 +115,7 @@
         try:
             told = self.reread()
         except Unreadable as err:
-            self.log(m.Log("reload refused", {"cause": str(err)[:200]}))
+            self.log(m.Log("reload refused", {"cause": str(err)[:200]}, logging.WARNING))
             return
         later = ("name", "listen", "peer_listen", "peers", "deployment")
         changed = [name for name in later if getattr(told, name) != getattr(self.node, name)]
@@ -180,7 +181,7 @@
     # The log
 
     def log(self, log: m.Log) -> None:
-        self.lines.write(self.now(), log.event, log.fields)
+        self.lines.write(self.now(), log.event, log.fields, log.level)
 
     def fault(self, where: str, err: BaseException | None) -> None:
         self.log(m.fault(where, err))
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterator, Sequence
 
 from onyxpost.deployment import Deployment
@@ -81,7 +82,7 @@
     def overdue(self) -> None:
         """A last resort: nothing is held past its client's time, whatever became of its decision."""
         for held in [h for h in self.clients.values() if self.now >= h.leaves + self.slack]:
-            self.effects.append(m.Log("overdue", {"req": held.asked.trace}))
+            self.effects.append(m.Log("overdue", {"req": held.asked.trace}, logging.ERROR))
             self.end(held)
 
     def end(self, held: Held) -> None:
--- a/onyxpost/edge/serve.py
+++ b/onyxpost/edge/serve.py
@@ -19,8 +19,10 @@
     except Unreadable as err:
         print(f"onyxpost: {err}", file=sys.stderr)
         return 2
+    lines = Lines(told.name, told.log_level)
+    lines.libraries()
     try:
-        return asyncio.run(Program(told, Lines(told.name), partial(node.read, os.environ, again=True)).run())
+        return asyncio.run(Program(told, lines, partial(node.read, os.environ, again=True)).run())
     except OSError as err:  # an address that cannot be had
         print(f"onyxpost: {err}", file=sys.stderr)
         return 1
--- a/onyxpost/lab/cluster.py
+++ b/onyxpost/lab/cluster.py
@@ -51,7 +51,7 @@
     def __init__(self, cluster: Cluster, name: str) -> None:
         self.cluster, self.name = cluster, name
 
-    def write(self, at: float, event: str, fields: dict[str, Any]) -> None:
+    def write(self, at: float, event: str, fields: dict[str, Any], level: int = 0) -> None:
         self.cluster.logged.append((round(at - EPOCH, 3), self.name, event))
         if event in ("fault", "overdue"):
             cause = str(fields.get("cause", fields.get("req", "")))[-300:]
--- a/onyxpost/lab/stand.py
+++ b/onyxpost/lab/stand.py
@@ -10,7 +10,6 @@
 from typing import Annotated, Any, Literal
 
 import msgspec
-import orjson
 from msgspec import Meta
 
 from onyxpost.edge import messages as m
@@ -123,9 +122,9 @@
 def write_node(example: Path, out: Path, stand: Stand) -> None:
     """The example node's file, with these stand-ins as its discovery and its known list."""
     try:
-        fields = orjson.loads(example.read_bytes())
+        fields = msgspec.json.decode(example.read_bytes())
         fields |= {"discovery": "{}:{}".format(*stand.agent.address), "known": stand.known()}
-        out.write_bytes(orjson.dumps(fields, option=orjson.OPT_INDENT_2))
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(fields)))
     except (OSError, ValueError, TypeError) as err:
         raise Unusable(f"{example}: {err}") from err
 
--- a/onyxpost/lab/standins.py
+++ b/onyxpost/lab/standins.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 import h11
-import orjson
+import msgspec
 
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import message
@@ -164,7 +164,7 @@
                 rows = list(self.held.values()) if reset else [row for g, row in self.log if g > since]
                 if reset:
                     rows = [row for row in rows if row["lifecycle"] != "removed"]
-                text = orjson.dumps({"generation": self.generation, "reset": reset, "instances": rows})
+                text = msgspec.json.encode({"generation": self.generation, "reset": reset, "instances": rows})
                 self.watching.list_told(self.number, rows)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
         writer.close()
--- a/onyxpost/simhost/__main__.py
+++ b/onyxpost/simhost/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-import orjson
+import msgspec
 
 from onyxpost.simhost.host import Host, WireError
 
@@ -12,11 +12,11 @@
     out = sys.stdout.buffer
     for line in sys.stdin.buffer:
         try:
-            reply = host.batch(orjson.loads(line))
-        except (orjson.JSONDecodeError, WireError) as err:
+            reply = host.batch(msgspec.json.decode(line))
+        except (msgspec.DecodeError, WireError) as err:
             print(f"onyxpost.simhost: malformed line: {err}", file=sys.stderr)
             return 2
-        out.write(orjson.dumps(reply, option=orjson.OPT_APPEND_NEWLINE))
+        out.write(msgspec.json.encode(reply) + b"\n")
         out.flush()
     return 0
 
