Two levels: planners grant leases of quotas, forwarders keep a ceiling by sum whatever dies

`onyxpost plan`, `check`, SIGHUP, SIGTERM, deploy/example-planner.json and -forwarder.json; off on the platform.

--- a/onyxpost/cli.py
+++ b/onyxpost/cli.py
@@ -49,14 +49,34 @@
     sys.exit(run())
 
 
+@main.command()
+@click.argument("file")
+def plan(file: str) -> None:
+    """Run one planner by its JSON FILE: it grants forwarders leases of their customers' quotas.
+
+    SIGHUP reads the file again: plans, forwarders and a later version of the planners take effect at once.
+    """
+    from onyxpost.plan.serve import serve as run
+
+    sys.exit(run(file))
+
+
 @main.command()
 @click.argument("file", required=False)
 def check(file: str | None) -> None:
-    """Say whether a node's JSON FILE, or the one that EDGE_CONFIG names, can be used (else exit 2)."""
-    from onyxpost.deployment import Unreadable
+    """Say whether the FILE of a node or planner, or what EDGE_CONFIG names, can be used (else exit 2)."""
+    from onyxpost.deployment import Unreadable, typed
     from onyxpost.edge import node
+    from onyxpost.plan import file as planner
 
     try:
+        if file and planner.is_planner(typed(_text(file), dict, file)):
+            planned = planner.read(file)
+            click.echo(
+                f"{planned.name}: planner of version {planned.version}, {len(planned.forwarders)} forwarders,"
+                f" {len(planned.plans)} plans"
+            )
+            return
         told = node.read({"EDGE_CONFIG": file} if file else os.environ)
     except Unreadable as err:
         click.echo(f"onyxpost: {err}", err=True)
@@ -64,6 +84,14 @@
     click.echo(f"{told.name}: {len(told.known.rows)} servers, {len(told.deployment.frontends)} frontends")
 
 
+def _text(file: str) -> bytes:
+    try:
+        with open(file, "rb") as opened:
+            return opened.read()
+    except OSError:
+        return b"{}"  # told with its cause where it is read
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -135,7 +135,7 @@
         nodes=given.n_instances,
         tick=given.quantum_us / 1000.0,
         frontends=[_frontend(grade) for grade in given.grades],
-        plans=[_plan(package) for package in given.packages],
+        plans=plans(given.packages),
         cold_rule=ColdRule(
             rules.start_capacity, rules.cold_us / 1000.0, rules.fall_multiple, rules.fall_us / 1000.0
         ),
@@ -158,6 +158,10 @@
     )
 
 
+def plans(given: list[GivenPlan]) -> list[Plan]:
+    return [_plan(package) for package in given]
+
+
 def _frontend(grade: GivenFrontend) -> Frontend:
     return Frontend(
         grade.name,
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -98,7 +98,23 @@
     token: int
 
 
-Incoming = Asked | ClientLeft | Ended | Listed | ListFailed | PeerTold | Woken
+class Granted(NamedTuple):
+    """A planner's lease: units that this node may send on for a customer until `ends`."""
+
+    customer: int
+    lease: int
+    units: int
+    ends: float
+
+
+class Withdrawn(NamedTuple):
+    """A lease must not be used any more."""
+
+    customer: int
+    lease: int
+
+
+Incoming = Asked | ClientLeft | Ended | Listed | ListFailed | PeerTold | Woken | Granted | Withdrawn
 
 
 class Send(NamedTuple):
@@ -149,6 +165,22 @@
     token: int
 
 
+class Spend(NamedTuple):
+    """A req took units of a lease, or of the own store or of nothing (0)."""
+
+    customer: int
+    plan: str
+    units: int
+    lease: int
+
+
+class Unused(NamedTuple):
+    """A lease is used no more; so many units of it are left."""
+
+    lease: int
+    units: int
+
+
 class Watch(NamedTuple):
     """Ask discovery for its changes."""
 
@@ -164,7 +196,7 @@
     return Log("fault", {"at": where, "cause": cause[-4000:]}, logging.ERROR)
 
 
-Outgoing = Send | Close | Withdraw | Leave | Answer | Tell | Wake | Watch | Log
+Outgoing = Send | Close | Withdraw | Leave | Answer | Tell | Wake | Spend | Unused | Watch | Log
 
 
 class NotTaken(Exception):
--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -13,6 +13,15 @@
 from onyxpost.edge import messages as m
 
 
+@dataclass(frozen=True, slots=True)
+class Planning:
+    """Who grants this node its allowances, by which version, and the part that it keeps of its own."""
+
+    version: int
+    members: dict[str, m.Address]
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class Node:
     name: str
@@ -26,12 +35,19 @@
     known: m.Listed
     log_level: str
     deployment: Deployment
+    planners: Planning | None = None
 
 
 class Limits(Given):
     sockets: Annotated[int, Meta(ge=8)] = 1024
 
 
+class Members(Given):
+    version: Annotated[int, Meta(ge=1)]
+    members: Annotated[dict[str, str], Meta(min_length=1, max_length=64)]
+    share: Annotated[float, Meta(gt=0.0, le=0.5)] = 0.2
+
+
 class File(Given):
     """A node's file. What else it says is passed over."""
 
@@ -45,6 +61,7 @@
     peer_listen: str | None = None
     peers: list[str] = msgspec.field(default_factory=list)
     discovery_too: str | None = None
+    planners: Members | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -87,6 +104,11 @@
         seed = int(file.seed, 16)
     except ValueError:
         raise Unreadable(f"no hexadecimal number: {file.seed!r} - at `$.seed`") from None
+    planners, deployment = None, made(file.settings)
+    if (told := file.planners) is not None:
+        members = {name: address(f"planners.members.{name}", text) for name, text in told.members.items()}
+        planners = Planning(told.version, members, told.share)
+        deployment = replace(deployment, allowed=replace(deployment.allowed, safe_share=told.share))
     return Node(
         name=file.name,
         listen=address("listen", file.listen),
@@ -98,5 +120,6 @@
         peers=[address(f"peers[{i}]", peer) for i, peer in enumerate(file.peers)],
         known=m.told(file.known)._replace(complete=True),
         log_level=file.log_level,
-        deployment=made(file.settings),
+        deployment=deployment,
+        planners=planners,
     )
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
@@ -20,6 +20,9 @@
 from onyxpost.edge.reducer import Reducer
 from onyxpost.edge.servers import Servers
 
+if TYPE_CHECKING:
+    from onyxpost.forward.client import Planners
+
 SWEEP = 0.25  # s between looks for idle connections
 ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
 SPARE = 48  # descriptors for files, the listener, discovery, peers, what is just being accepted or refused
@@ -52,8 +55,15 @@
         )  # fmt: skip
         self.discovery = Discovery(self.net, node.discovery, node.known.generation, self.post, self.log)
         self.discovery.too = node.discovery_too
+        self.planners: Planners | None = None
+        if (planning := node.planners) is not None:
+            from onyxpost.forward.client import Planners  # loaded only where there are planners
+
+            self.planners = Planners(
+                self.net, node.name, planning.members, planning.version, self.post, self.log
+            )
         self.peers = Peers(self.net, node.peers, deployment.number, self.post)
-        self.carry = {
+        self.carry: dict[type, Callable[[Any], None]] = {
             m.Send: self.servers.send,
             m.Close: lambda effect: self.servers.close(effect.dispatch),
             m.Withdraw: lambda effect: self.servers.withdraw(effect.dispatch),
@@ -61,6 +71,8 @@
             m.Answer: self.clients.answer,
             m.Tell: self.peers.tell,
             m.Wake: self.wake,
+            m.Spend: self.spend,
+            m.Unused: self.unused,
             m.Watch: lambda effect: self.discovery.begin(),
             m.Log: self.log,
         }
@@ -84,6 +96,8 @@
             self.discovery.begin()
         # What its agent holds counts as told from the start on, and the list in the file may be old.
         await self.discovery.heard_first(self.node.deployment.drain_grace)
+        if self.planners is not None:
+            self.planners.begin()
         await self.clients.listen(self.node.listen)
         self.sweep()
         self.net.settled()
@@ -99,6 +113,8 @@
             self.clients.close_idle()
             await asyncio.sleep(0.01)
         await self.clients.finish()
+        if self.planners is not None:
+            await self.planners.leave()
         self.net.deaf()
         self.shut()
         self.enter(Phase.STOPPED)
@@ -109,6 +125,8 @@
         self.servers.finish()
         self.peers.close()
         self.discovery.close()
+        if self.planners is not None:
+            self.planners.close()
 
     def reload(self) -> None:
         """The file is read whole before any of it takes effect; one that cannot be used changes nothing."""
@@ -121,6 +139,8 @@
         changed = [name for name in later if getattr(told, name) != getattr(self.node, name)]
         self.node = replace(self.node, discovery=told.discovery, descriptors=told.descriptors)
         self.discovery.move(told.discovery)
+        if self.planners is not None and told.planners is not None:
+            self.planners.move(told.planners.members, told.planners.version)
         self.log(m.Log("reloaded", {"discovery": "{}:{}".format(*told.discovery), "after restart": changed}))
 
     def ready(self) -> bool:
@@ -152,6 +172,16 @@
         loop = asyncio.get_running_loop()
         loop.call_later(wake.after / 1000.0, self.post, m.Woken(wake.token))
 
+    # Leases
+
+    def spend(self, spent: m.Spend) -> None:
+        if self.planners is not None:
+            self.planners.spend(spent)
+
+    def unused(self, unused: m.Unused) -> None:
+        if self.planners is not None:
+            self.planners.unused(unused)
+
     # Descriptors
 
     def spare(self) -> int:
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -114,6 +114,10 @@
                 return self.listed(value)
             case m.ListFailed():
                 return ("list_failed",)
+            case m.Granted(customer, lease, units, ends):
+                return ("granted", customer, lease, units, ends)
+            case m.Withdrawn(customer, lease):
+                return ("withdrawn", customer, lease)
 
     def asked(self, a: m.Asked) -> tuple[object, ...] | None:
         if a.trace in self.traces:
@@ -204,3 +208,9 @@
 
     def subscribe(self) -> None:
         self.effects.append(m.Watch())
+
+    def spend(self, customer: int, plan: str, units: int, lease: int) -> None:
+        self.effects.append(m.Spend(customer, plan, units, lease))
+
+    def unused(self, lease: int, units: int) -> None:
+        self.effects.append(m.Unused(lease, units))
--- /dev/null
+++ b/onyxpost/forward/__init__.py
@@ -0,0 +1,3 @@
+"""A forwarder's side of the planners: leases asked for, held and given back. The module still decides every
+req.
+"""
--- /dev/null
+++ b/onyxpost/forward/client.py
@@ -0,0 +1,142 @@
+"""Connections to the planners, and the book's beat. I/O only; no req waits for it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.exchange import READ
+from onyxpost.edge.net import Net
+from onyxpost.forward.book import Book
+from onyxpost.plan import wire as w
+
+BEAT = 0.05  # s between looks at the book
+AGAIN = 0.2  # s before a planner that is not there is tried again
+CONNECT = 1.0  # s for a connection and its welcome
+FIGURES = 10.0  # s between lines of figures
+
+
+class Planners:
+    def __init__(
+        self, net: Net, name: str, members: dict[str, m.Address], version: int,
+        post: Callable[[m.Incoming], None], log: Callable[[m.Log], None],
+    ) -> None:  # fmt: skip
+        self.net, self.members, self.post, self.log = net, dict(members), post, log
+        self.book = Book(name, list(members), version)
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.writers: dict[str, asyncio.StreamWriter] = {}
+        self.beating: asyncio.Task[None] | None = None
+        self.left = False
+
+    def begin(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.beating = loop.create_task(self.beat())
+        for name in self.members:
+            self.tasks[name] = loop.create_task(self.stay_with(name))
+
+    def spend(self, spent: m.Spend) -> None:
+        self.book.spend(self.net.clock(), *spent)
+        self.deliver()
+
+    def unused(self, unused: m.Unused) -> None:
+        self.book.over(*unused)
+        self.deliver()
+
+    def deliver(self) -> None:
+        """What the book wants said goes out; a planner that does not read is cut, not waited for."""
+        out, news = self.book.taken()
+        for planner, message in out:
+            writer = self.writers.get(planner)
+            if writer is None:
+                continue
+            writer.write(w.frame(message))
+            if writer.transport.get_write_buffer_size() > w.BUFFER_MOST:
+                cause = {"planner": planner, "cause": "does not read"}
+                self.log(m.Log("planner cut", cause, logging.WARNING))
+                writer.transport.abort()
+                self.writers.pop(planner, None)
+        for item in news:
+            self.post(item)
+
+    async def beat(self) -> None:
+        told = self.net.clock()
+        while True:
+            await asyncio.sleep(BEAT)
+            now = self.net.clock()
+            self.book.beat(now)
+            self.deliver()
+            if now - told >= 1000.0 * FIGURES:
+                told = now
+                self.log(m.Log("leases", dict(self.book.figures())))
+
+    async def stay_with(self, name: str) -> None:
+        quiet = False
+        while True:
+            try:
+                await self.with_one(name)
+                quiet = False
+            except (OSError, EOFError, w.Malformed) as err:
+                if not quiet:
+                    cause = {"planner": name, "cause": f"{type(err).__name__}: {err}"[:200]}
+                    self.log(m.Log("planner lost", cause, logging.WARNING))
+                quiet = name not in self.book.epochs
+            self.book.lost(name)
+            self.writers.pop(name, None)
+            await asyncio.sleep(AGAIN)
+
+    async def with_one(self, name: str) -> None:
+        async with asyncio.timeout(CONNECT):
+            reader, writer, _ = await self.net.dial(self.members[name], READ)
+        try:
+            writer.write(w.frame(self.book.hello(self.net.clock())))
+            async with asyncio.timeout(CONNECT):
+                welcome = await w.from_planner(reader)
+            if not isinstance(welcome, w.Welcome) or welcome.protocol != w.PROTOCOL:
+                raise w.Malformed("no welcome of this protocol")
+            self.writers[name] = writer
+            self.book.connected(self.net.clock(), name, welcome)
+            here = {"planner": name, "epoch": welcome.epoch, "version": welcome.version}
+            self.log(m.Log("planner here", here))
+            while True:
+                self.book.heard(self.net.clock(), name, await w.from_planner(reader))
+                self.deliver()
+        finally:
+            writer.transport.abort()
+
+    def move(self, members: dict[str, m.Address], version: int) -> bool:
+        """Another membership by SIGHUP: only a later version is followed."""
+        if version <= self.book.version:
+            return False
+        loop = asyncio.get_running_loop()
+        for name in [n for n in self.tasks if members.get(n) != self.members.get(n)]:
+            self.tasks.pop(name).cancel()
+            self.book.lost(name)
+            self.writers.pop(name, None)
+        self.members = dict(members)
+        self.book.change(self.net.clock(), list(members), version)
+        for name in members:
+            if name not in self.tasks:
+                self.tasks[name] = loop.create_task(self.stay_with(name))
+        return True
+
+    async def leave(self) -> None:
+        """All leases go back, and are on their way before the connections end."""
+        self.book.leave(self.net.clock())
+        self.deliver()
+        for _ in range(10):
+            if not self.book.held:
+                break
+            await asyncio.sleep(0.01)
+        self.deliver()
+        for writer in self.writers.values():
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await writer.drain()
+
+    def close(self) -> None:
+        for task in [self.beating, *self.tasks.values()]:
+            if task is not None:
+                task.cancel()
--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -100,6 +100,7 @@
     peers: bool
     longest_retry_after: float
     peer_messages_per_s: float
+    safe_share: float = 0.0  # above 0: planners grant leases, and all own stores together hold this part
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +126,8 @@
     def wake(self, after: float, token: int) -> None: ...
     def log(self, line: str) -> None: ...
     def subscribe(self) -> None: ...
+    def spend(self, customer: int, plan: str, units: int, lease: int) -> None: ...
+    def unused(self, lease: int, units: int) -> None: ...
 
 
 class Decider(Protocol):
--- a/onyxpost/lab/cli.py
+++ b/onyxpost/lab/cli.py
@@ -232,3 +232,36 @@
     except OSError as err:
         raise Unusable(f"{discovery}: {err}") from err
     click.echo(f"{served} pages served")
+
+
+@lab.command()
+@click.option("--forwarders", default=20, show_default=True)
+@click.option("--planners", default=3, show_default=True)
+@click.option("--seconds", default=30.0, show_default=True)
+@click.option("--rate", default=150.0, show_default=True, help="Reqs a second, all together.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--kills", default=3.0, show_default=True, help="s between kills of a planner; 0: none.")
+@click.option("--customers", type=click.IntRange(1, 1000), default=12, show_default=True)
+@click.option("--quota", default=12.0, show_default=True, help="Units a second of one customer.")
+@click.option("--burst", default=40.0, show_default=True, help="Units that it may use at once.")
+@click.option("--gossip", is_flag=True, help="The same day by the nodes' own gossip, without planners.")
+@click.option("--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep files and logs there.")
+@told
+def town(
+    forwarders: int, planners: int, seconds: float, rate: float, seed: int, kills: float, customers: int,
+    quota: float, burst: float, gossip: bool, logs: Path | None,
+) -> None:  # fmt: skip
+    """Forwarders and planners as processes on loopback, planners killed at random from the seed.
+
+    Exit 1: a req had no answer, or a ceiling was passed.
+    """
+    from onyxpost.lab import town as towns
+
+    day = towns.Day(
+        forwarders, planners, seconds, rate, customers, seed, kills, gossip, quota, burst
+    )
+    figures, breaches = towns.play(day, logs)
+    click.echo("  ".join(f"{name} {value}" for name, value in figures.items()))
+    for breach in breaches[:5]:
+        click.echo(f"  ceiling passed at {breach}")
+    sys.exit(1 if breaches or figures.get("lost") else 0)
--- a/onyxpost/lab/fleet.py
+++ b/onyxpost/lab/fleet.py
@@ -11,10 +11,11 @@
 from onyxpost.lab import scenario as s
 from onyxpost.lab.clockwork import Clockwork
 from onyxpost.lab.nodes import Held, Node
+from onyxpost.lab.planning import Planning
 from onyxpost.lab.rules import Rules
 from onyxpost.lab.servers import Server
+from onyxpost.lab.virtual import EPOCH
 
-EPOCH = 1_000_000_000_000.0  # Unix ms at the run's start: servers that started long ago say 0
 SLACK = 50.0  # ms that the checker allows beside each limit
 TOP = 10.0  # s of the worst stretch that the totals name
 
@@ -86,6 +87,8 @@
         self.nodes += [Node(self, i, i % fleet.halls) for i in range(fleet.nodes)]
         self.noticed = [True] * fleet.nodes  # the front's view: is the node there?
         self.customers = self._customers()
+        told = scenario.planners
+        self.planning = Planning(self, told.count, told.share, told.lease_ms) if told is not None else None
 
     def _plans(self) -> list[Plan]:
         """Quotas such that use inside them is the wanted share of what the fleet can do."""
@@ -125,6 +128,8 @@
 
     def play(self) -> None:
         until = self.scenario.seconds * 1000.0
+        if self.planning is not None:
+            self.planning.begin()
         for node in self.nodes:
             node.known = dict(self.servers)
             node.rows = {server.id: server.row(self.epoch) for server in self.servers.values()}
@@ -184,6 +189,14 @@
             return
         self.clock.after(self.links.uniform(*links.peer_ms), to.hear, to.life, node.number, body)
 
+    def spend(self, node: Node, customer: int, plan: str, units: int, lease: int) -> None:
+        if self.planning is not None:
+            self.planning.spend(node, customer, plan, units, lease)
+
+    def unused(self, node: Node, lease: int, units: int) -> None:
+        if self.planning is not None:
+            self.planning.unused(node, lease, units)
+
     def node_log(self, node: Node, line: str) -> None:
         self.modes["passed over" if "passed over" in line else line.split(" ")[0]] += 1
 
@@ -363,6 +376,14 @@
     def heal(self) -> None:
         self.cut, self.deaf, self.lists_later = None, False, 0.0
 
+    def begin_plannerslost(self, e: s.PlannersLost) -> None:
+        """The first ones; they come back with nothing."""
+        if self.planning is not None:
+            names = self.planning.names[: round(e.share * len(self.planning.names))]
+            for name in names:
+                self.planning.kill(name)
+                self.clock.after(1000.0 * e.for_s, self.planning.start, name)
+
     def lasting(self, e: s.Lasting, servers: list[Server], name: str, value: float, before: float) -> None:
         self.put(servers, name, value)
         self.clock.after(1000.0 * e.for_s, self.put, servers, name, before)
--- a/onyxpost/lab/nodes.py
+++ b/onyxpost/lab/nodes.py
@@ -125,6 +125,7 @@
     name: str
     hall: int
     life: int
+    alive: bool
     opened: int
     gateway: Gateway
 
@@ -152,6 +153,8 @@
         self.alive = True
         self.idle, self.held, self.after_round = {}, {}, []
         w = self.world
+        if w.planning is not None:
+            w.planning.node_started(self)
         self.gateway = Gateway(
             self.now(), seed=self.chance.getrandbits(48), number=self.number, nodes=len(w.nodes), tick=TICK,
             frontends=w.frontends, plans=w.plans, cold_rule=w.cold, allowed=w.scenario.allowed(),
@@ -364,3 +367,9 @@
 
     def subscribe(self) -> None:
         pass
+
+    def spend(self, customer: int, plan: str, units: int, lease: int) -> None:
+        self.world.spend(self, customer, plan, units, lease)
+
+    def unused(self, lease: int, units: int) -> None:
+        self.world.unused(self, lease, units)
--- a/onyxpost/lab/scenario.py
+++ b/onyxpost/lab/scenario.py
@@ -176,7 +176,21 @@
     share: Share
 
 
-Events = Release | Kill | HallLost | Split | Slow | Failing | Hung | Surge | AnswersLost
+class PlannersLost(Lasting, tag="planners-lost"):
+    """Planners die and come back empty."""
+
+    share: Share = 1.0
+
+
+class Planners(Part):
+    """Allowances come from planners in place of the nodes' gossip."""
+
+    count: Annotated[int, Meta(ge=1, le=64)]
+    share: Annotated[float, Meta(gt=0.0, le=0.5)] = 0.2
+    lease_ms: Annotated[float, Meta(ge=500.0, le=60_000.0)] = 2000.0
+
+
+Events = PlannersLost | Release | Kill | HallLost | Split | Slow | Failing | Hung | Surge | AnswersLost
 
 
 class Scenario(Part):
@@ -190,6 +204,7 @@
     lists: Lists = msgspec.field(default_factory=Lists)
     customers: Customers = msgspec.field(default_factory=Customers)
     cold: Cold = msgspec.field(default_factory=Cold)
+    planners: Planners | None = None
     drain_grace_ms: Positive = 250.0
     dispatches: Annotated[int, Meta(ge=1, le=20)] = 5
     longest_retry_after_ms: Time = 1000.0
@@ -197,8 +212,9 @@
 
     def allowed(self) -> Allowed:
         return Allowed(
-            self.dispatches, True, True, True, self.longest_retry_after_ms, self.links.peer_intake
-        )
+            self.dispatches, True, True, True, self.longest_retry_after_ms, self.links.peer_intake,
+            self.planners.share if self.planners is not None else 0.0,
+        )  # fmt: skip
 
 
 RANGES = {
--- a/onyxpost/lab/standins.py
+++ b/onyxpost/lab/standins.py
@@ -135,6 +135,7 @@
         self.held: dict[str, dict[str, Any]] = {}
         self.log: list[tuple[int, dict[str, Any]]] = []
         self.silent = False
+        self.writers: set[asyncio.StreamWriter] = set()
         self.listener: Listener | None = None
 
     async def open(self) -> None:
@@ -149,7 +150,8 @@
         self.changed = asyncio.Event()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        self.writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 while self.silent:
@@ -167,4 +169,5 @@
                 text = msgspec.json.encode({"generation": self.generation, "reset": reset, "instances": rows})
                 self.watching.list_told(self.number, rows)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        self.writers.discard(writer)
         writer.close()
--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -112,8 +112,10 @@
     TURN = 4  # most peers that are told in turn: a larger set has a keeper
     PRESSED = 0.5  # share of the burst that is gone when the keeper starts to tell
 
-    def __init__(self, key: int, born: float, number: int, nodes: int) -> None:
-        self.key, self.seen, self.number, self.nodes = key, born, number, nodes
+    def __init__(self, key: int, born: float, number: int, nodes: int, safe: float) -> None:
+        self.key, self.seen, self.number, self.nodes, self.safe = key, born, number, nodes, safe
+        self.part = 1.0  # of the quota that the own store fills with
+        self.leases: dict[int, list[float]] = {}  # units left, end
         self.plan: Plan | None = None
         self.peers: list[int] = []
         self.keeper, self.about = -1, ""
@@ -127,6 +129,9 @@
         if self.plan is not None:
             return
         self.plan, self.share = plan, 1.0 / max(1, spread)
+        if self.safe:  # planners grant the rest; an earlier life may have spent this part
+            self.part = self.share = self.share * self.safe
+            return
         members = [(first + i) % self.nodes for i in range(min(spread, self.nodes))]  # peers may err
         self.peers = [p for p in members if p != self.number]
         if len(self.peers) > self.TURN and not plan.ceiling_rate:
@@ -141,7 +146,8 @@
         if (plan := self.plan) is None:
             return
         past, self.at = (now - self.at) / 1000.0, now
-        self.level = min(plan.burst, max(self.level, -plan.rate * self.DEBT / 1000.0) + plan.rate * past)
+        rate, burst = plan.rate * self.part, plan.burst * self.part
+        self.level = min(burst, max(self.level, -rate * self.DEBT / 1000.0) + rate * past)
         full = plan.ceiling_burst * self.share
         self.ceiling = min(full, self.ceiling + plan.ceiling_rate * self.share * past)
 
@@ -149,6 +155,8 @@
         self.fill(now)
         if (plan := self.plan) is None or (plan.open_cap and self.all_out(now) >= plan.open_cap):
             return False
+        if sum(left for left, ends in self.leases.values() if now < ends) >= units:
+            return True
         return (not plan.rate or self.level >= units) and (not plan.ceiling_rate or self.ceiling >= units)
 
     def all_out(self, now: float, but: int = -1) -> int:
@@ -161,7 +169,7 @@
         return self.level / short if short else 1.0
 
     def wait(self, units: int) -> float:
-        rate = self.plan.rate if self.plan else 0.0
+        rate = self.plan.rate * self.part if self.plan else 0.0
         return max(0.0, (units - self.level) / rate * 1000.0) if rate else 0.0
 
     def stale(self, now: float) -> bool:
@@ -169,14 +177,30 @@
         self.fill(now)
         p = self.plan
         full = p.ceiling_burst * self.share if p else 0.0
-        short = p and ((p.rate and self.level < p.burst) or (p.ceiling_rate and self.ceiling < full))
-        return not short and not self.open and now - self.seen > self.FORGET
+        below = p and p.rate and self.level < p.burst * self.part
+        short = below or (p and p.ceiling_rate and self.ceiling < full)
+        return not short and not self.open and not self.leases and now - self.seen > self.FORGET
 
     def draw(self, units: int, ceiling: int) -> None:
         self.level -= units
         self.count += units
         self.ceiling -= ceiling
 
+    def take(self, now: float, units: int) -> list[tuple[int, int]]:
+        """A req's units, from leases if they hold them all, else from the own store (0)."""
+        good = {lease: held for lease, held in self.leases.items() if now < held[1]}
+        if sum(left for left, _ in good.values()) < units:
+            self.draw(units, units)
+            return [(0, units)]
+        self.count += units
+        parts = []
+        for lease, held in good.items():
+            part = int(min(units, held[0]))
+            held[0] -= part
+            units -= part
+            parts += [(lease, part)] if part else []
+        return parts
+
     def hear(self, now: float, peer: int, life: str, count: int, out: int, new: int, gift: int) -> None:
         h = self.heard.setdefault(peer, Heard())
         # A cumulative count makes a lost or repeated message harmless; of the first one heard only what is
@@ -400,6 +424,8 @@
         customer.meet(self.now, self.plans[place], place, int(first), int(spread))
         req = Req(rid, self.now, leaves, self.frontends[frontend], customer, units)
         if not customer.has_room(self.now, units) or self.chance() > customer.ease():
+            if self.allowed.safe_share:
+                self.writer.spend(customer.key, plan, units, 0)
             self.writer.deny(rid, min(self.allowed.longest_retry_after, customer.wait(units)))
             return
         shed = self.theta.theta > 0.0 and self.chance() < self.theta.theta
@@ -410,7 +436,9 @@
             self.deny(req)
             return
         self.reqs[rid] = req
-        customer.draw(units, units)
+        for lease, part in customer.take(self.now, units):
+            if self.allowed.safe_share:
+                self.writer.spend(customer.key, plan, part, lease)
         self.changed[customer] = None
         self.send(req, srv)
 
@@ -451,6 +479,18 @@
         elif over and not req.streaming and not self.send_again(req):
             self.give_up(req)
 
+    def granted(self, key: int, lease: int, units: int, ends: float) -> None:
+        customer = self.customers.get(key)
+        if customer is None or ends <= self.now:
+            self.writer.unused(lease, units)
+        else:
+            customer.leases[lease] = [units, ends]
+
+    def withdrawn(self, key: int, lease: int) -> None:
+        customer = self.customers.get(key)
+        left = customer.leases.pop(lease, [0.0])[0] if customer is not None else 0.0
+        self.writer.unused(lease, int(left))
+
     def told(self, peer: int, body: str) -> None:
         """A malformed message is dropped whole."""
         try:
@@ -495,7 +535,9 @@
 
     def customer(self, key: int) -> Customer:
         if key not in self.customers:
-            self.customers[key] = Customer(key, self.born, self.number, self.nodes)
+            self.customers[key] = Customer(
+                key, self.born, self.number, self.nodes, self.allowed.safe_share
+            )
         return self.customers[key]
 
     def ranking(self, customer: Customer) -> list[Srv]:
--- a/onyxpost/simhost/encode.py
+++ b/onyxpost/simhost/encode.py
@@ -41,5 +41,11 @@
     def subscribe(self) -> None:
         self._put("KeepInformed", active=True)
 
+    def spend(self, customer: int, plan: str, units: int, lease: int) -> None:
+        """No planners on the bench's wire."""
+
+    def unused(self, lease: int, units: int) -> None:
+        """Nor leases."""
+
     def fault(self, text: str) -> None:
         self._put("Bug", what=text)
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -9,7 +9,10 @@
 
 from onyxpost.cli import main
 
-HEAVY = ("click", "matplotlib", "numpy", "hdrh", "onyxpost.lab", "onyxpost.cli", "argparse")
+HEAVY = (
+    "click", "matplotlib", "numpy", "hdrh", "argparse",
+    "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.cli",
+)  # fmt: skip
 PROBE = """
 import sys, onyxpost.edge.serve
 print(*sorted(name for name in sys.modules if name.split(".")[0] in {0} or name in {0}))
@@ -33,12 +36,16 @@
 
     def test_help_names_every_command(self) -> None:
         top = CliRunner().invoke(main, ["--help"]).output
-        for name in ("serve", "check", "version", "lab"):
+        for name in ("serve", "plan", "check", "version", "lab"):
             self.assertIn(name, top)
         lab = CliRunner().invoke(main, ["lab", "--help"]).output
-        for name in ("run", "seeds", "load", "stand", "compare", "scenarios"):
+        for name in ("run", "seeds", "load", "stand", "town", "compare", "scenarios"):
             self.assertIn(name, lab)
 
-    def test_the_example_can_be_used(self) -> None:
-        found = CliRunner().invoke(main, ["check", "deploy/example-node.json"])
-        self.assertEqual((found.exit_code, found.output), (0, "n0: 1 servers, 1 frontends\n"))
+    def test_the_examples_can_be_used(self) -> None:
+        for name, said in (
+            ("node", "n0: 1 servers, 1 frontends\n"), ("forwarder", "f0: 1 servers, 1 frontends\n"),
+            ("planner", "p0: planner of version 1, 1 forwarders, 1 plans\n"),
+        ):  # fmt: skip
+            found = CliRunner().invoke(main, ["check", f"deploy/example-{name}.json"])
+            self.assertEqual((found.exit_code, found.output), (0, said))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -115,6 +115,16 @@
         self.assertGreater(sum(second["cut"] for second in world.seconds), 0)
         self.assertEqual(world.rules.breaches, [])
 
+    def test_planners_hold_the_ceiling_also_while_they_are_lost(self) -> None:
+        capped = SMALL.replace("spread = [1, 1]", "spread = [2, 4]\nceiling = 1.2").replace("= 40", "= 8")
+        more = "[planners]\ncount = 2\nlease_ms = 1000\n" + event("surge", at_s=2, for_s=3, times=4)
+        told = totals(world := played(more + event("planners-lost", at_s=3, for_s=0.5), capped))
+        self.assertEqual((world.rules.breaches, told["beyond_quota"]), ([], 0.0))
+        assert world.planning is not None
+        planners = [planner for planner in world.planning.planners.values() if planner is not None]
+        self.assertEqual([planner.epoch for planner in planners], ["p0-2", "p1-2"])
+        self.assertGreater(sum(planner.ledger.figures()["spent"] for planner in planners), 20)
+
     def test_a_connection_is_counted_at_its_server_as_long_as_a_node_holds_it(self) -> None:
         world = played(event("kill", at_s=2, share=0.5) + event("hung", at_s=3, for_s=1, share=0.5))
         for server in world.servers.values():
