--- a/onyxpost/lab/cli.py
+++ b/onyxpost/lab/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import time
 from collections.abc import Callable
@@ -37,6 +38,7 @@
 @click.group()
 def lab() -> None:
     """Try designs at sizes that sockets do not reach."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends as an interrupt does
 
 
 @lab.command("scenarios")
--- a/onyxpost/lab/runs.py
+++ b/onyxpost/lab/runs.py
@@ -84,6 +84,22 @@
 
 def _quiet() -> None:
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # an interrupt is the parent's to handle
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+
+
+@contextlib.contextmanager
+def pool_of(jobs: int) -> Iterator[ProcessPoolExecutor]:
+    """Processes that end with what they are for: an interrupted run leaves none, and waits for none."""
+    context = multiprocessing.get_context("spawn")
+    pool = ProcessPoolExecutor(jobs, mp_context=context, initializer=_quiet)
+    try:
+        yield pool
+    except BaseException:
+        for child in multiprocessing.active_children():
+            child.terminate()
+        pool.shutdown(wait=False, cancel_futures=True)
+        raise
+    pool.shutdown()
 
 
 def many(
@@ -95,13 +111,9 @@
         for seed in chosen:
             yield seed, *one(text, seed, changed or {})
         return
-    context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(jobs, mp_context=context, initializer=_quiet) as pool:
+    with pool_of(jobs) as pool:
         waiting: list[tuple[int, Future[tuple[bytes, float]]]] = [
             (seed, pool.submit(one, text, seed, changed or {})) for seed in chosen
         ]
-        try:
-            for seed, future in waiting:
-                yield seed, *future.result()
-        finally:
-            pool.shutdown(wait=True, cancel_futures=True)
+        for seed, future in waiting:
+            yield seed, *future.result()
--- a/onyxpost/lab/seeds.py
+++ b/onyxpost/lab/seeds.py
@@ -6,10 +6,8 @@
 import contextlib
 import gc
 import hashlib
-import multiprocessing
 import time
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from random import Random
 from typing import Any, NamedTuple
 
@@ -18,7 +16,7 @@
 from onyxpost.lab import virtual
 from onyxpost.lab.cluster import Cluster
 from onyxpost.lab.rules import Breach
-from onyxpost.lab.runs import _quiet
+from onyxpost.lab.runs import pool_of
 from onyxpost.lab.standins import AppServer
 
 SECONDS = 4.0  # that a script lasts; then all that is owed is waited for
@@ -386,13 +384,9 @@
         for one in parts:
             yield from part(one, plant)
         return
-    context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(jobs, mp_context=context, initializer=_quiet) as pool:
-        try:
-            for found in pool.map(part, parts, [plant] * len(parts)):
-                yield from found
-        finally:
-            pool.shutdown(wait=True, cancel_futures=True)
+    with pool_of(jobs) as pool:
+        for found in pool.map(part, parts, [plant] * len(parts)):
+            yield from found
 
 
 def timed(seeds: list[int], jobs: int, plant: str = "") -> tuple[list[Outcome], float]:
--- a/onyxpost/plan/ledger.py
+++ b/onyxpost/plan/ledger.py
@@ -21,6 +21,8 @@
 from onyxpost.interface import Plan
 
 RECENT = 3000.0  # ms for which a forwarder that asked counts among those that share what is free
+IDLE = 300.0  # ms without use after which a lease may be recalled for a forwarder that lacks
+RECALLED = 60.0  # ms after which that one may ask again: the lease's way back and some
 FORGET = 60_000.0  # ms after which a customer with full limits and nothing out is forgotten
 
 
@@ -74,6 +76,7 @@
     units: int  # out: neither spent nor given back, as far as is known
     ends: float
     withdrawn: bool = False
+    used: float = 0.0  # when last, or granted
 
 
 class Account:
@@ -97,6 +100,7 @@
 
 class Refused(NamedTuple):
     after: float  # ms until there may be something
+    recall: Lease | None = None  # to be withdrawn: it idles where it is
 
 
 class Ledger:
@@ -126,7 +130,7 @@
             if known is not None and until > now:
                 account = self.account(now, customer, known)
                 self.given += 1
-                lease = Lease(self.given, forwarder, customer, units, until)
+                lease = Lease(self.given, forwarder, customer, units, until, withdrawn=True)
                 self.leases[lease.number] = account.leases[lease.number] = lease
                 for limit in account.limits:
                     limit.out += units
@@ -168,11 +172,22 @@
         account.asked[forwarder] = now, units - max(0, granted)  # what it still lacks
         if granted < least:
             self.refused += 1
+            if (idle := self._idle(now, account, forwarder)) is not None:
+                return Refused(RECALLED, idle)
             short = max((least - limit.free) / limit.rate * 1000.0 if limit.rate else math.inf
                         for limit in account.limits)  # fmt: skip
             return Refused(max(20.0, short))
         return self._lease(now, account, forwarder, customer, granted)
 
+    def _idle(self, now: float, account: Account, forwarder: str) -> Lease | None:
+        """The one of another forwarder that has idled for longest."""
+        idle = [x for x in account.leases.values() if x.forwarder != forwarder and not x.withdrawn]
+        longest = min(idle, key=lambda lease: lease.used, default=None)
+        if longest is None or now - longest.used < IDLE:
+            return None
+        longest.withdrawn = True
+        return longest
+
     def _part(self, now: float, account: Account, units: int, least: int) -> float:
         """Those that lately lacked some share what is free, in proportion; one alone gets all it asks."""
         account.asked = {f: a for f, a in account.asked.items() if now - a[0] <= RECENT}
@@ -184,7 +199,7 @@
     def _lease(self, now: float, account: Account, forwarder: str, customer: int, units: int) -> Lease:
         self.given += 1
         self.granted += units
-        lease = Lease(self.given, forwarder, customer, units, now + self.terms.over)
+        lease = Lease(self.given, forwarder, customer, units, now + self.terms.over, used=now)
         self.leases[lease.number] = account.leases[lease.number] = lease
         for limit in account.limits:
             limit.grant(units)
@@ -196,6 +211,7 @@
         if lease is not None:
             units = min(max(0, units), lease.units)
             lease.units -= units
+            lease.used = now
             self.spent += units
             for limit in self.accounts[lease.customer].limits:
                 limit.end(now, units, 0.0)
@@ -244,13 +260,14 @@
             for limit, (rate, burst) in zip(account.limits, sizes, strict=True):
                 limit.change(now, rate, burst)
             over = max((limit.out - limit.burst for limit in account.limits), default=0.0)
+            over -= sum(lease.units for lease in account.leases.values() if lease.withdrawn)
             for lease in sorted(account.leases.values(), key=lambda one: -one.number):
                 if over <= 0.0:
                     break
                 if not lease.withdrawn:
                     lease.withdrawn = True
                     surplus.append(lease)
-                over -= lease.units
+                    over -= lease.units
         return surplus
 
     def figures(self) -> dict[str, float]:
--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -176,6 +176,8 @@
             return refuse(200.0, "less than half follow")
         lease = self.ledger.ask(now, name, ask.customer, ask.plan, ask.units, ask.least)
         if isinstance(lease, Refused):
+            if lease.recall is not None:
+                self.say(lease.recall.forwarder, w.Withdraw(lease.recall.number, self.epoch))
             return refuse(lease.after, "nothing is free")
         return w.Grant(ask.number, lease.number, ask.customer, ask.plan, lease.units, self.epoch)
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,7 +1,11 @@
 """The emulator, its scenarios and its reports, as a new user meets them."""
 
+import os
 import pathlib
+import subprocess
+import sys
 import tempfile
+import time
 import unittest
 from typing import Any
 
@@ -160,6 +164,26 @@
         self.assertNotEqual(one, tried)
         self.assertEqual(one, again)
 
+    def test_an_interrupted_run_keeps_what_was_finished_and_leaves_no_process(self) -> None:
+        out = self.folder / "out.jsonl"
+        words = ["lab", "run", str(self.file), "--seeds", "1-500", "--jobs", "2", "--out", str(out)]
+        with subprocess.Popen(
+            [sys.executable, "-u", "-m", "onyxpost", *words], stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+            text=True, start_new_session=True,
+        ) as running:  # fmt: skip
+            assert running.stdout is not None
+            self.assertIn("seed 1 ", running.stdout.readline())
+            running.terminate()
+            _, said = running.communicate(timeout=30.0)
+            self.assertIn("what was finished is kept", said)
+            self.assertEqual(running.returncode, 130)
+            with self.assertRaises(ProcessLookupError):  # nobody of its session is left
+                for _ in range(100):
+                    os.killpg(running.pid, 0)
+                    time.sleep(0.05)
+        self.assertIn(b'"kind":"total"', out.read_bytes())
+        self.assertEqual(self.run_lab("compare", out, out).exit_code, 0)
+
     def test_results_are_compared_and_plotted(self) -> None:
         for name, seeds in (("a", "1-2"), ("b", "1-2"), ("c", "3-4")):
             self.run_lab("run", self.file, "--seeds", seeds, "--jobs", 1, "--out", self.folder / name)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -92,6 +92,19 @@
         self.assertEqual(one.figures()["out"], 5)
         self.assertLessEqual(self.granted(one, now + 9100.0, "d", 9).units, 3)
 
+    def test_a_lease_that_idles_is_recalled_for_one_that_lacks(self) -> None:
+        one = ledger()
+        now = OPEN + 60_000.0
+        idle, busy = self.granted(one, now, "a", 10), self.granted(one, now + 1.0, "b", 10)
+        self.assertIsNone(one.ask(now + 200.0, "c", 7, "p", 3, 3).recall)  # type: ignore[union-attr]
+        one.used(now + 310.0, "b", busy.number, 1)
+        told = one.ask(now + 320.0, "c", 7, "p", 9, 9)
+        assert isinstance(told, Refused)
+        self.assertIs(told.recall, idle)
+        self.assertIsNone(one.ask(now + 330.0, "c", 7, "p", 9, 9).recall)  # type: ignore[union-attr]
+        one.back(now + 340.0, "a", idle.number, 10)
+        self.assertEqual(self.granted(one, now + 380.0, "c", 9).units, 9)
+
     def test_a_plan_that_is_gone_grants_nothing_more(self) -> None:
         one = ledger()
         self.granted(one, OPEN + 60_000.0, "a", 5)
