A req short of its node's part of a ceiling waits while it can be in time

One node alone would hold all of the ceiling; in a set of four each part fills at a quarter of the rate and starts empty in each life, 1.75 s until a req of three units fits.

Change: such a req waits in order of arrival for units that the part will hold in time, else it is denied at once as before.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -123,6 +123,7 @@
         self.count, self.told, self.turn, self.open = 0, 0, 0, 0
         self.heard: dict[int, Heard] = {}
         self.ranking: list[Srv] = []
+        self.waiting: list[Req] = []  # for this node's part of the ceiling, in order of arrival
 
     def meet(self, now: float, plan: Plan, place: int, first: int, spread: int) -> None:
         self.seen = now
@@ -172,6 +173,16 @@
         rate = self.plan.rate * self.part if self.plan else 0.0
         return max(0.0, (units - self.level) / rate * 1000.0) if rate else 0.0
 
+    def ceiling_in(self, now: float, units: int) -> float | None:
+        """ms until the own part of the ceiling holds the units for one more; None if more lacks."""
+        self.fill(now)
+        plan, ahead = self.plan, units + sum(req.units for req in self.waiting)
+        if plan is None or not plan.ceiling_rate or self.level < ahead:
+            return None
+        if units > plan.ceiling_burst * self.share or (plan.open_cap and self.all_out(now) >= plan.open_cap):
+            return None
+        return max(0.0, (ahead - self.ceiling) / (plan.ceiling_rate * self.share) * 1000.0)
+
     def stale(self, now: float) -> bool:
         """Nothing is lost with it: its stores are full, as they are for one that has not been seen."""
         self.fill(now)
@@ -179,7 +190,8 @@
         full = p.ceiling_burst * self.share if p else 0.0
         below = p and p.rate and self.level < p.burst * self.part
         short = below or (p and p.ceiling_rate and self.ceiling < full)
-        return not short and not self.open and not self.leases and now - self.seen > self.FORGET
+        idle = not self.open and not self.leases and not self.waiting
+        return not short and idle and now - self.seen > self.FORGET
 
     def draw(self, units: int, ceiling: int) -> None:
         self.level -= units
@@ -292,6 +304,7 @@
         self.id, self.arrived, self.leaves, self.frontend = rid, now, leaves, frontend
         self.customer, self.units = cust, units
         self.due = min(leaves, now + frontend.response_target)
+        self.began = now  # when it was let in
         self.dispatches: list[Dispatch] = []
         self.done = self.streaming = False
 
@@ -374,6 +387,7 @@
         self.reqs: dict[str, Req] = {}
         self.customers: dict[int, Customer] = {}
         self.changed: dict[Customer, None] = {}  # whose counts peers have yet to hear
+        self.waiting: dict[Customer, None] = {}  # with reqs that wait for the ceiling
         self.theta = Theta(now, self.chance())
         self.mail, self.intake = Ring(250.0, 4, 1), self.INTAKE * allowed.peer_messages_per_s
         self.gossip_at, self.sweep_at = now + self.GOSSIP * self.chance(), now
@@ -423,22 +437,56 @@
         place = next(i for i, known in enumerate(self.plans) if known.name == plan)
         customer.meet(self.now, self.plans[place], place, int(first), int(spread))
         req = Req(rid, self.now, leaves, self.frontends[frontend], customer, units)
-        if not customer.has_room(self.now, units) or self.chance() > customer.ease():
-            if self.allowed.safe_share:
-                self.writer.spend(customer.key, plan, units, 0)
-            self.writer.deny(rid, min(self.allowed.longest_retry_after, customer.wait(units)))
-            return
+        room = not customer.waiting and customer.has_room(self.now, units)
+        soon = None if room or self.allowed.safe_share else customer.ceiling_in(self.now, units)
+        if soon is not None and self.now + soon <= self.latest(req):
+            self.reqs[rid] = req
+            customer.waiting.append(req)
+            self.waiting[customer] = None
+        elif not room or self.chance() > customer.ease():
+            self.over_quota(req)
+        else:
+            self.let_in(req)
+
+    def latest(self, req: Req) -> float:
+        """When a req that waits can last be sent on and still be answered in good time."""
+        return min(req.due - 2.0 * self.usual, (req.arrived + req.leaves) / 2.0)
+
+    def over_quota(self, req: Req) -> None:
+        if self.allowed.safe_share and (plan := req.customer.plan):
+            self.writer.spend(req.customer.key, plan.name, req.units, 0)
+        self.writer.deny(req.id, min(self.allowed.longest_retry_after, req.customer.wait(req.units)))
+
+    def release(self, customer: Customer) -> None:
+        """Those whose units are there now; one that could not be in time any more is denied at once."""
+        while customer.waiting:
+            req = customer.waiting[0]
+            customer.fill(self.now)
+            if not req.done and customer.ceiling < req.units and self.now <= self.latest(req):
+                return
+            del customer.waiting[0]
+            if req.done:
+                continue
+            del self.reqs[req.id]
+            if customer.has_room(self.now, req.units):
+                self.let_in(req)
+            else:
+                self.over_quota(req)
+        del self.waiting[customer]
+
+    def let_in(self, req: Req) -> None:
+        customer, req.began = req.customer, self.now
         shed = self.theta.theta > 0.0 and self.chance() < self.theta.theta
         srv = None if shed else self.pick(req)
         if srv is None:
             if not shed:  # not answered in time either: left out of the mean, it would hide an overload
-                self.theta.answered(req.frontend, leaves - self.now)
+                self.theta.answered(req.frontend, req.leaves - self.now)
             self.deny(req)
             return
-        self.reqs[rid] = req
-        for lease, part in customer.take(self.now, units):
-            if self.allowed.safe_share:
-                self.writer.spend(customer.key, plan, part, lease)
+        self.reqs[req.id] = req
+        for lease, part in customer.take(self.now, req.units):
+            if self.allowed.safe_share and customer.plan:
+                self.writer.spend(customer.key, customer.plan.name, part, lease)
         self.changed[customer] = None
         self.send(req, srv)
 
@@ -467,7 +515,7 @@
         self.judge(d, result, waited)
         if result is Result.OK and not req.done:
             self.theta.served += 1
-            self.theta.answered(req.frontend, self.now - req.arrived)
+            self.theta.answered(req.frontend, self.now - req.began)
             if actual:
                 req.customer.draw(int(actual) - req.units, 0)
                 self.changed[req.customer] = None
@@ -508,6 +556,8 @@
             customer.hear(self.now, peer, life, count, out, new, gift)
             self.changed[customer] = None
             counts = counts or customer.keeper < 0
+            if customer in self.waiting:
+                self.release(customer)
         if counts:  # reports do not: a keeper that hears much must not fall silent
             self.mail.add(self.now, 1.0)
         for key, gone, out in (row for row in rows if len(row) == 3):
@@ -518,6 +568,8 @@
         if self.now >= self.assess_at:
             self.assess_at = self.now + self.ASSESS
             self.assess()
+        for customer in list(self.waiting):
+            self.release(customer)
         t = self.theta
         if self.now >= self.window.next_at:
             out = [d for srv in self.stirred for d in srv.out]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -312,6 +312,31 @@
         host.run(5000.0)
         self.assertEqual(kinds(host.arrive(4)), ["dispatch"])
 
+    def test_a_req_waits_for_its_nodes_part_of_a_ceiling_while_it_can_be_in_time(self) -> None:
+        plan = Plan("p", 100.0, 300.0, 0, 1.0, 9.0, 90.0)  # this part of three: 3 a second, from nothing
+        host = Host(plan=plan)
+        self.assertEqual([kinds(host.arrive(1)), kinds(host.arrive(1))], [[], []])
+        self.assertEqual(kinds(host.arrive(1)), ["deny"])  # after 1 s it could not be in time
+        self.assertEqual([d[1] for d in host.run(350.0) if d[0] == "dispatch"], ["r1"])
+        self.assertEqual([d[1] for d in host.run(350.0) if d[0] == "dispatch"], ["r2"])
+        self.assertEqual(host.gateway.waiting, {})
+
+    def test_what_waits_for_a_ceiling_gets_one_answer_whatever_comes_between(self) -> None:
+        host = Host(plan=Plan("p", 100.0, 300.0, 0, 1.0, 9.0, 90.0))
+        host.arrive(1)
+        host.arrive(1)
+        self.assertEqual(kinds(host.feed("client_left", "r1")), [])
+        host.gateway.customers[crc32(b"c")].level = -500.0  # spent elsewhere meanwhile
+        self.assertEqual([d[:2] for d in host.run(900.0) if d[0] != "tell"], [("deny", "r2")])
+        self.assertEqual((host.gateway.reqs, host.gateway.waiting), ({}, {}))
+
+    def test_a_part_too_late_for_what_waits_denies_it_before_half_of_its_time(self) -> None:
+        host = Host(plan=Plan("p", 100.0, 300.0, 0, 1.0, 9.0, 90.0))
+        host.arrive(1, stay=900.0)
+        host.gateway.customers[crc32(b"c")].ceiling = -50.0  # handed to a peer meanwhile
+        self.assertEqual(kinds(host.run(425.0)), [])
+        self.assertEqual(kinds(host.run(100.0)), ["deny"])
+
 
 if __name__ == "__main__":
     unittest.main()
