Questions that discovery turned away are asked again at times strewn ever wider

All 40 nodes begin their watch in one moment; 16 get through, 24 are answered 503 after 2.0 s and ask again 0.1 s later, in step (Discovery.watch, AGAIN).

Change: after a status other than 200 the next question comes at a time drawn from 2, 4, then 8 s; where each watch loads discovery, the first is drawn from 1 s.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from functools import partial
+from random import Random
 
 import h11
 
@@ -18,14 +19,21 @@
 WAIT = 5000  # ms that one watch may wait
 GRACE = 1000.0  # ms past that wait in which a live agent answers
 AGAIN = 100.0  # ms before the next try: within the 200 ms that keep a watch
+SPREAD = 1000.0  # ms over which all nodes' first questions, and those after one turned away, are strewn
+SPREAD_MOST = 8000.0  # it doubles with each further one turned away, up to this
 LIST_MOST = 8 * 1024 * 1024
 
 
+class TurnedAway(Unreadable):
+    """Discovery has more questions than it can answer: asked again at once by all it would stay so."""
+
+
 class Discovery:
     def __init__(
         self, net: Net, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
-        log: Callable[[m.Log], None],
+        log: Callable[[m.Log], None], seed: int = 0, costly: bool = False,
     ) -> None:  # fmt: skip
+        self.chance, self.costly = Random(seed), costly  # costly: each watch loads a discovery that all share
         self.net, self.address, self.generation, self.post, self.log = net, address, generation, post, log
         self.too: m.Address | None = None  # where else it may be, until one of both has answered
         self.down = False
@@ -57,11 +65,12 @@
 
     async def watch(self, address: m.Address, moved: bool = False) -> None:
         swapped = False  # the other address is tried at once, the first one again after a while
+        spread = SPREAD
         while True:
             try:
                 async for listed in self.watch_on_one(address, moved):
                     self.told(listed, moved)
-                    moved = False
+                    moved, spread = False, SPREAD
             except (OSError, h11.ProtocolError, Unreadable) as err:
                 if self.too is not None and address == self.address:
                     address, self.too = self.too, address
@@ -74,7 +83,9 @@
                     cause = {"cause": f"{type(err).__name__}: {err}"[:200]}
                     self.log(m.Log("discovery down", cause, logging.WARNING))
                     self.post(m.ListFailed())
-                await asyncio.sleep(AGAIN / 1000.0)
+                turned_away = isinstance(err, TurnedAway)
+                spread = min(SPREAD_MOST, 2.0 * spread) if turned_away else spread
+                await asyncio.sleep((self.chance.uniform(AGAIN, spread) if turned_away else AGAIN) / 1000.0)
 
     def told(self, listed: m.Listed, moved: bool) -> None:
         own = self.watches.index(asyncio.current_task())  # type: ignore[arg-type]
@@ -102,16 +113,19 @@
             watching = True
             while watching:
                 # The first one is answered at once, with whatever is newer than the list in the file.
-                wait = WAIT if self.asked.is_set() else 1
+                first = not self.asked.is_set()
+                wait = 1 if first else WAIT
                 target = "/v1/servers" if whole else f"/v1/servers?since={self.generation}&timeout_ms={wait}"
                 host = [("Host", "{}:{}".format(*address))]
                 writer.write(message(http, h11.Request(method="GET", target=target, headers=host)))
                 async with asyncio.timeout((GRACE if whole else WAIT + GRACE) / 1000.0):
                     response, text = await answered(http, partial(reader.read, READ), LIST_MOST)
                 if response.status_code != 200:
-                    raise Unreadable(f"status {response.status_code}")
+                    raise TurnedAway(f"status {response.status_code}")
                 whole = False
                 yield m.listed(text)
                 watching = again(http)
+                if first and self.costly:  # after a restart of many, all would ask in one moment
+                    await asyncio.sleep(self.chance.uniform(0.0, SPREAD) / 1000.0)
         finally:
             writer.transport.abort()
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -53,7 +53,10 @@
             self.net, self.post, self.server_room, self.reducer.wanted, self.fault,
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
-        self.discovery = Discovery(self.net, node.discovery, node.known.generation, self.post, self.log)
+        self.discovery = Discovery(
+            self.net, node.discovery, node.known.generation, self.post, self.log,
+            node.seed, deployment.must_ask,
+        )  # fmt: skip
         self.discovery.too = node.discovery_too
         self.planners: Planners | None = None
         if (planning := node.planners) is not None:
