A watch of discovery once begun is carried on; questions turned away are strewn over 4, 8, 16 s

The first question (timeout_ms=1) begins a call; waiting up to 1 s behind its answer (Discovery.watch_on_one) gives that watch up, and its work is done for nobody, for all nodes in one moment. 2 to 8 s also ask for more than discovery's 8 questions a second.

Change: the first watch goes on at once, as before; a question turned away comes again at a time drawn from 4, 8, then 16 s.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -19,8 +19,10 @@
 WAIT = 5000  # ms that one watch may wait
 GRACE = 1000.0  # ms past that wait in which a live agent answers
 AGAIN = 100.0  # ms before the next try: within the 200 ms that keep a watch
-SPREAD = 1000.0  # ms over which all nodes' first questions, and those after one turned away, are strewn
-SPREAD_MOST = 8000.0  # it doubles with each further one turned away, up to this
+# ms over which questions after one turned away are strewn: what discovery has to tell counts as told after
+# 6 s, and a question may take 2 s; it doubles with each further one turned away, up to the most.
+SPREAD = 4000.0
+SPREAD_MOST = 16000.0
 LIST_MOST = 8 * 1024 * 1024
 
 
@@ -31,9 +33,9 @@
 class Discovery:
     def __init__(
         self, net: Net, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
-        log: Callable[[m.Log], None], seed: int = 0, costly: bool = False,
+        log: Callable[[m.Log], None], seed: int = 0,
     ) -> None:  # fmt: skip
-        self.chance, self.costly = Random(seed), costly  # costly: each watch loads a discovery that all share
+        self.chance = Random(seed)
         self.net, self.address, self.generation, self.post, self.log = net, address, generation, post, log
         self.too: m.Address | None = None  # where else it may be, until one of both has answered
         self.down = False
@@ -84,8 +86,8 @@
                     self.log(m.Log("discovery down", cause, logging.WARNING))
                     self.post(m.ListFailed())
                 turned_away = isinstance(err, TurnedAway)
-                spread = min(SPREAD_MOST, 2.0 * spread) if turned_away else spread
                 await asyncio.sleep((self.chance.uniform(AGAIN, spread) if turned_away else AGAIN) / 1000.0)
+                spread = min(SPREAD_MOST, 2.0 * spread) if turned_away else spread
 
     def told(self, listed: m.Listed, moved: bool) -> None:
         own = self.watches.index(asyncio.current_task())  # type: ignore[arg-type]
@@ -113,8 +115,7 @@
             watching = True
             while watching:
                 # The first one is answered at once, with whatever is newer than the list in the file.
-                first = not self.asked.is_set()
-                wait = 1 if first else WAIT
+                wait = WAIT if self.asked.is_set() else 1
                 target = "/v1/servers" if whole else f"/v1/servers?since={self.generation}&timeout_ms={wait}"
                 host = [("Host", "{}:{}".format(*address))]
                 writer.write(message(http, h11.Request(method="GET", target=target, headers=host)))
@@ -125,7 +126,5 @@
                 whole = False
                 yield m.listed(text)
                 watching = again(http)
-                if first and self.costly:  # after a restart of many, all would ask in one moment
-                    await asyncio.sleep(self.chance.uniform(0.0, SPREAD) / 1000.0)
         finally:
             writer.transport.abort()
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -54,9 +54,8 @@
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
         self.discovery = Discovery(
-            self.net, node.discovery, node.known.generation, self.post, self.log,
-            node.seed, deployment.must_ask,
-        )  # fmt: skip
+            self.net, node.discovery, node.known.generation, self.post, self.log, node.seed
+        )
         self.discovery.too = node.discovery_too
         self.planners: Planners | None = None
         if (planning := node.planners) is not None:
