Cold servers take turns by sure shares of all that is to be sent; no burst when warm ones leave

Each dispatch to one was written down with its node's interval and wait: when 18 of 42 warm servers left, gap (Gateway.assess) fell from 2.7 to 1.3 s at once, and cold_room set free every node that had waited longer than the new interval, 16 of 40 in 1.5 s where 8 were meant. Ruled out: chance, repeats, failing servers.

Change: the interval passes bit by bit, and comes of all that the node has to send and all capacity surely there.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -272,8 +272,8 @@
         self.id = row.server
         self.out: dict[Dispatch, None] = {}
         self.started = -1.0  # its first row counts as a start
-        # When last sent to while cold, the part of its interval to wait; a mean of 0: the usual holds.
-        self.cold_at, self.cold_part, self.mean, self.was = 0.0, 0.0, 0.0, 1.0
+        # The part of its interval still to wait while cold; a mean of 0: the usual holds.
+        self.cold_part, self.mean, self.was = 0.0, 0.0, 1.0
         self.hash = crc32(row.server.encode())
 
     def take(self, row: ListRow) -> None:
@@ -383,7 +383,7 @@
         self.servers: dict[str, Srv] = {}
         self.ready: list[Srv] = []
         self.stirred: dict[Srv, None] = {}  # with something out, or seen of late: work goes by these
-        self.fleet = Ring(SPAN / 12, 12, 3)  # answers, their response times, dispatches to warm servers
+        self.fleet = Ring(SPAN / 12, 12, 3)  # answers, their response times, reqs to be sent
         self.reqs: dict[str, Req] = {}
         self.customers: dict[int, Customer] = {}
         self.changed: dict[Customer, None] = {}  # whose counts peers have yet to hear
@@ -418,7 +418,7 @@
             srv = self.servers[row.server] = self.servers.get(row.server) or Srv(row)
             if row.started != srv.started:  # a new process: what was seen of the old one is void
                 srv.forget()
-                srv.cold_at, srv.cold_part = self.now, self.chance()
+                srv.cold_part = self.chance()
             srv.take(row)
         self.servers = {s.id: s for s in self.servers.values() if s.standing is not Standing.GONE}
         self.ready = [s for s in self.servers.values() if s.standing is Standing.READY]
@@ -604,8 +604,14 @@
         """Mean response of servers lately used, once in a while: for each req, or all, it would cost dear."""
         now, n = self.now, self.fleet.total(self.now, 0)
         self.usual = self.fleet.total(now, 1) / n if n else self.unseen
-        warm = sum(1 for s in self.ready if s.warmth(now, self.cold_rule) >= 1.0)
-        self.gap = SPAN * warm / max(1.0, self.fleet.total(now, 2))
+        shares = [(s, s.warmth(now, self.cold_rule)) for s in self.ready]
+        span = min(SPAN, max(self.ASSESS, now - self.born))
+        self.gap = span * sum(w for _, w in shares) / max(1.0, self.fleet.total(now, 2))
+        # Bit by bit: where half of the warm ones go the interval halves, and all nodes that had waited for
+        # more than the new one would send at once.
+        for s, warmth in shares:
+            if warmth < 1.0:
+                s.cold_part -= self.ASSESS * warmth / self.gap
         for s in list(self.stirred):
             # What is out longer than usual counts by its age: a slow server answers little, and late.
             ages = [now - d.sent for d in s.out if now - d.sent > self.usual]
@@ -619,14 +625,14 @@
     def cold_room(self, srv: Srv) -> bool:
         """A cold server gets its sure share of what a warm one is sent, each node's first at any time in its
         interval: all nodes' firsts at once would push it over."""
-        warmth = srv.warmth(self.now, self.cold_rule)
-        return warmth >= 1.0 or self.now >= srv.cold_at + srv.cold_part * self.gap / warmth
+        return srv.cold_part <= 0.0 or srv.warmth(self.now, self.cold_rule) >= 1.0
 
     def pick(self, req: Req) -> Srv | None:
         ranking = self.ranking(req.customer)
         # What is out past its response target is lost or hung, or will be: it takes up no room.
         if self.window.full(ranking, sum(1 for s in self.stirred for d in s.out if self.now < d.req.due)):
             return None
+        self.fleet.add(self.now, 0.0, 0.0, 1.0)
         able = [s for s in ranking if self.cold_room(s)]
         risky = req.risky()
         if risky is not None and req.frontend.effect is Effect.UNIQUED:
@@ -649,11 +655,7 @@
         srv.out[d] = None
         self.stirred[srv] = None
         req.customer.open += 1
-        warmth = srv.warmth(self.now, self.cold_rule)
-        if warmth >= 1.0:
-            self.fleet.add(self.now, 0.0, 0.0, 1.0)
-        else:
-            srv.cold_at, srv.cold_part = self.now, 1.0
+        srv.cold_part = 1.0
         until = req.leaves - self.now
         if req.frontend.late_value <= 0.0:
             until = min(until, max(self.tick, req.due - self.now - 2.0 * self.tick - 2.0))
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -62,6 +62,36 @@
             host.end(req, Result.OK)
         self.assertIn(sent.count("s3"), range(5, 50))  # of 300; a warm one's even part is 75
 
+    def test_when_half_of_the_warm_servers_go_the_nodes_do_not_send_to_a_cold_one_at_once(self) -> None:
+        hosts, cold = [Host(servers=8, number=n, nodes=30, warm_ms=60000.0) for n in range(30)], []
+        for tick in range(400):
+            for host in hosts:
+                if tick in (300, 360):  # a cold one comes, then four of eight warm ones go
+                    warm = [host.row(i) for i in range(8 if tick == 300 else 4)]
+                    host.list(*warm, host.row(8, started=host.now - 25.0 * (tick - 300)))
+                turn = tick % 4 == host.gateway.number % 4
+                for what, req, *to in host.arrive(key=f"c{tick}") if turn else []:
+                    if what == "dispatch":
+                        cold += [tick] * (to[0] == "s8")
+                        host.end(req, Result.OK)
+                host.run(25.0)
+        before, after = (sum(1 for t in cold if first <= t < first + 20) for first in (340, 360))
+        self.assertGreater(before, 0)
+        self.assertLessEqual(after, 3 * before)  # each warm one gets twice as many
+
+    def test_with_nobody_warm_the_cold_servers_take_turns(self) -> None:
+        host, sent = Host(servers=4, warm_ms=20000.0), []
+        for tick in range(300):
+            if tick == 100:
+                host.list(*(host.row(n, started=host.now) for n in range(4)))
+            for what, req, *to in host.arrive():
+                if what == "dispatch":
+                    sent += [to[0]] * (tick >= 100)
+                    host.end(req, Result.OK)
+            host.run(25.0)
+        self.assertGreater(len(sent), 100)
+        self.assertLess(max(sent.count(f"s{n}") for n in range(4)), 0.4 * len(sent))
+
     def test_a_quick_failer_is_passed_over(self) -> None:
         host = Host()
         ((_, req, server, _),) = host.arrive()
