One reading of a planner's or forwarder's message; a comment told what cold servers got before

The two readers in plan/wire.py differed in their decoder alone: frame, decoding and the refusal of what is malformed are now in one place. cold_room's comment still named what a warm server is sent. Left: edge/serve.py and plan/serve.py share their ends, as joining them would make a planner load the node.

--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -623,7 +623,7 @@
                 del self.stirred[s]
 
     def cold_room(self, srv: Srv) -> bool:
-        """A cold server gets its sure share of what a warm one is sent, each node's first at any time in its
+        """A cold server gets its sure share of all that is to be sent, each node's first at any time in its
         interval: all nodes' firsts at once would push it over."""
         return srv.cold_part <= 0.0 or srv.warmth(self.now, self.cold_rule) >= 1.0
 
--- a/onyxpost/plan/wire.py
+++ b/onyxpost/plan/wire.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta
 
+T = TypeVar("T")
+
 PROTOCOL = 1
 FRAME_MOST = 64 * 1024
 BUFFER_MOST = 256 * 1024  # bytes that a slow reader may leave unread before it is cut
@@ -123,26 +125,20 @@
     return len(data).to_bytes(4, "big") + data
 
 
-async def _frame(reader: asyncio.StreamReader) -> bytes:
+async def _message(reader: asyncio.StreamReader, decoder: msgspec.msgpack.Decoder[T]) -> T:
     length = int.from_bytes(await reader.readexactly(4), "big")
     if not 0 < length <= FRAME_MOST:
         raise Malformed(f"a frame of {length} bytes")
-    return await reader.readexactly(length)
-
-
-async def from_forwarder(reader: asyncio.StreamReader) -> FromForwarder:
-    data = await _frame(reader)
+    data = await reader.readexactly(length)
     try:
-        message: FromForwarder = _forwarders.decode(data)
-        return message
+        return decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as err:
         raise Malformed(str(err)[:200]) from err
 
 
+async def from_forwarder(reader: asyncio.StreamReader) -> FromForwarder:
+    return await _message(reader, _forwarders)
+
+
 async def from_planner(reader: asyncio.StreamReader) -> FromPlanner:
-    data = await _frame(reader)
-    try:
-        message: FromPlanner = _planners.decode(data)
-        return message
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
-        raise Malformed(str(err)[:200]) from err
+    return await _message(reader, _planners)
