One clock for lists: silence is broken in time for its news; a list that may hide drains

Need: what a silent watch hides counts as told 6 s after the silence began (2 s after its wait, if later), arrived or not. Measured on the virtual clock with silence at nine points of a watch, at its start and one byte short of an answer: the first question of a life was broken at 6.0 s and its news was there at 6.10 s, past the 6.0 s (in edge/discovery.py: WAIT + GRACE also for a question that may wait 1 ms); the others had 1 s, too little for a question that discovery itself works on for 2 s. Questions turned away were strewn over up to 16 s with no look at any clock, and nothing told the module.

Change: edge/listclock.py, pure, holds all of it. Watches wait 3 s and are broken after 4 s, the first after a move after 2 s. Strewn questions leave 2 s for their answer before news counts as told (pushed lists: 6 s; asked for: four must_ask_in_us after the failed call). Past that, where the agent speaks and tells nothing, the module sends only to servers that took a req within half of a drain's grace. Silence twice is discovery being down: it learns nothing, and the list stays good.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -14,15 +14,10 @@
 from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import READ, again, answered, message
+from onyxpost.edge.listclock import WAIT, Failure, ListClock
 from onyxpost.edge.net import Net
 
-WAIT = 5000  # ms that one watch may wait
-GRACE = 1000.0  # ms past that wait in which a live agent answers
-AGAIN = 100.0  # ms before the next try: within the 200 ms that keep a watch
-# ms over which questions after one turned away are strewn: what discovery has to tell counts as told after
-# 6 s, and a question may take 2 s; it doubles with each further one turned away, up to the most.
-SPREAD = 4000.0
-SPREAD_MOST = 16000.0
+DIAL = 1000.0  # ms for a connection: the agent is on this machine
 LIST_MOST = 8 * 1024 * 1024
 
 
@@ -33,12 +28,14 @@
 class Discovery:
     def __init__(
         self, net: Net, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
-        log: Callable[[m.Log], None], seed: int = 0,
+        log: Callable[[m.Log], None], seed: int = 0, failed_call: float = 0.0,
     ) -> None:  # fmt: skip
-        self.chance = Random(seed)
+        """`failed_call`: ms in which nothing counts as told after a call that discovery turned away."""
+        self.chance, self.failed_call = Random(seed), failed_call
         self.net, self.address, self.generation, self.post, self.log = net, address, generation, post, log
         self.too: m.Address | None = None  # where else it may be, until one of both has answered
-        self.down = False
+        self.down = self.stale = False
+        self.old: asyncio.TimerHandle | None = None  # when news comes to count as told that has not come
         self.asked = asyncio.Event()  # the first answer is here, or there is none to be had
         self.watches: list[asyncio.Task[None]] = []  # after a move, those that the next one is to replace too
 
@@ -62,17 +59,19 @@
         self.watches.append(asyncio.get_running_loop().create_task(self.watch(address, moved)))
 
     def close(self) -> None:
+        self.may_be_old_in(None)
         for watch in self.watches:
             watch.cancel()
 
     async def watch(self, address: m.Address, moved: bool = False) -> None:
         swapped = False  # the other address is tried at once, the first one again after a while
-        spread = SPREAD
+        clock = ListClock(self.chance, self.failed_call)
         while True:
             try:
-                async for listed in self.watch_on_one(address, moved):
+                async for listed in self.watch_on_one(address, clock, moved):
+                    clock.answered()
                     self.told(listed, moved)
-                    moved, spread = False, SPREAD
+                    moved = False
             except (OSError, h11.ProtocolError, Unreadable) as err:
                 if self.too is not None and address == self.address:
                     address, self.too = self.too, address
@@ -85,9 +84,23 @@
                     cause = {"cause": f"{type(err).__name__}: {err}"[:200]}
                     self.log(m.Log("discovery down", cause, logging.WARNING))
                     self.post(m.ListFailed())
-                turned_away = isinstance(err, TurnedAway)
-                await asyncio.sleep((self.chance.uniform(AGAIN, spread) if turned_away else AGAIN) / 1000.0)
-                spread = min(SPREAD_MOST, 2.0 * spread) if turned_away else spread
+                left = clock.failed(self.net.clock(), _failure(err))
+                stale_in = clock.stale_in(self.net.clock()) if address == self.address else None
+                self.may_be_old_in(stale_in)
+                await asyncio.sleep(left / 1000.0)
+
+    def may_be_old_in(self, left: float | None) -> None:
+        """In `left` ms news counts as told that has not come: then the module is to hear of it."""
+        if self.old is not None:
+            self.old.cancel()
+            self.old = None
+        if left is not None and not self.stale:
+            self.old = asyncio.get_running_loop().call_later(left / 1000.0, self.may_be_old)
+
+    def may_be_old(self) -> None:
+        self.stale = True
+        self.log(m.Log("list may be old", {"generation": self.generation}, logging.WARNING))
+        self.post(m.ListFailed(stale=True))
 
     def told(self, listed: m.Listed, moved: bool) -> None:
         own = self.watches.index(asyncio.current_task())  # type: ignore[arg-type]
@@ -102,24 +115,29 @@
             if listed.generation < self.generation:
                 return  # older than what is held: what is newer still comes
         self.generation, self.too = listed.generation, None
+        self.may_be_old_in(None)
         self.asked.set()
-        if listed.rows or listed.complete:
+        if listed.rows or listed.complete or self.stale:
+            self.stale = False
             self.post(listed)
 
-    async def watch_on_one(self, address: m.Address, whole: bool) -> AsyncIterator[m.Listed]:
+    async def watch_on_one(
+        self, address: m.Address, clock: ListClock, whole: bool
+    ) -> AsyncIterator[m.Listed]:
         """Watch after watch on one connection, until it fails; `whole`: the first asks for the whole list."""
-        async with asyncio.timeout(GRACE / 1000.0):
+        async with asyncio.timeout(DIAL / 1000.0):
             reader, writer, _ = await self.net.dial(address, READ)
         try:
             http = h11.Connection(h11.CLIENT)
             watching = True
             while watching:
                 # The first one is answered at once, with whatever is newer than the list in the file.
-                wait = WAIT if self.asked.is_set() else 1
+                wait = int(WAIT) if self.asked.is_set() else 1
                 target = "/v1/servers" if whole else f"/v1/servers?since={self.generation}&timeout_ms={wait}"
                 host = [("Host", "{}:{}".format(*address))]
                 writer.write(message(http, h11.Request(method="GET", target=target, headers=host)))
-                async with asyncio.timeout((GRACE if whole else WAIT + GRACE) / 1000.0):
+                patience = clock.asked(self.net.clock(), wait, moved=whole)
+                async with asyncio.timeout(patience / 1000.0):
                     response, text = await answered(http, partial(reader.read, READ), LIST_MOST)
                 if response.status_code != 200:
                     raise TurnedAway(f"status {response.status_code}")
@@ -128,3 +146,11 @@
                 watching = again(http)
         finally:
             writer.transport.abort()
+
+
+def _failure(err: Exception) -> Failure:
+    if isinstance(err, TurnedAway):
+        return Failure.TURNED_AWAY
+    if isinstance(err, TimeoutError):
+        return Failure.SILENT
+    return Failure.AWAY if isinstance(err, OSError) else Failure.SPOILT
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -86,7 +86,7 @@
 
 
 class ListFailed(NamedTuple):
-    pass
+    stale: bool = False  # news may count as told by now that has not come
 
 
 class PeerTold(NamedTuple):
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -54,8 +54,9 @@
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
         self.discovery = Discovery(
-            self.net, node.discovery, node.known.generation, self.post, self.log, node.seed
-        )
+            self.net, node.discovery, node.known.generation, self.post, self.log, node.seed,
+            deployment.failed_call,
+        )  # fmt: skip
         self.discovery.too = node.discovery_too
         self.planners: Planners | None = None
         if (planning := node.planners) is not None:
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -112,8 +112,8 @@
                 return ("client_left", held.id)
             case m.Listed():
                 return self.listed(value)
-            case m.ListFailed():
-                return ("list_failed",)
+            case m.ListFailed(stale):
+                return ("list_stale",) if stale else ("list_failed",)
             case m.Granted(customer, lease, units, ends):
                 return ("granted", customer, lease, units, ends)
             case m.Withdrawn(customer, lease):
--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -101,6 +101,7 @@
     longest_retry_after: float
     peer_messages_per_s: float
     safe_share: float = 0.0  # above 0: planners grant leases, and all own stores together hold this part
+    drain_grace: float = 0.0  # ms from when a server was told to drain, after which nothing new may begin
 
 
 @dataclass(frozen=True, slots=True)
--- a/onyxpost/logic.py
+++ b/onyxpost/logic.py
@@ -275,6 +275,7 @@
         # The part of its interval still to wait while cold; a mean of 0: the usual holds.
         self.cold_part, self.mean, self.was = 0.0, 0.0, 1.0
         self.hash = crc32(row.server.encode())
+        self.shown = 0.0  # when the last one was sent that it passed: then it did not drain
 
     def take(self, row: ListRow) -> None:
         self.hall, self.cell, self.standing, self.started = row.hall, row.cell, row.standing, row.started
@@ -381,6 +382,7 @@
         self.plans, self.cold_rule, self.allowed, self.must_ask = plans, cold_rule, allowed, must_ask
         self.life = f"{crc32(f'{seed}/life'.encode()) & 0xFFFF:x}"
         self.servers: dict[str, Srv] = {}
+        self.stale = False  # news may count as told that has not come
         self.ready: list[Srv] = []
         self.stirred: dict[Srv, None] = {}  # with something out, or seen of late: work goes by these
         self.fleet = Ring(SPAN / 12, 12, 3)  # answers, their response times, reqs to be sent
@@ -412,6 +414,7 @@
     # What comes in
 
     def listed(self, complete: bool, rows: list[ListRow]) -> None:
+        self.stale = False
         for srv in self.servers.values() if complete else []:
             srv.standing = Standing.GONE  # but those named
         for row in rows:
@@ -428,6 +431,9 @@
     def list_failed(self) -> None:
         self.writer.subscribe()
 
+    def list_stale(self) -> None:
+        self.stale = True  # till the next list: any server may have been told to drain
+
     def arrived(
         self, rid: str, leaves: float, frontend: str, key: str, plan: str, units: int, spread: int, first: int
     ) -> None:
@@ -627,13 +633,17 @@
         interval: all nodes' firsts at once would push it over."""
         return srv.cold_part <= 0.0 or srv.warmth(self.now, self.cold_rule) >= 1.0
 
+    def surely_there(self, srv: Srv) -> bool:
+        """With news missing: it took a req so lately that a drain since is within half of its grace."""
+        return not self.stale or self.now - srv.shown < self.allowed.drain_grace / 2.0
+
     def pick(self, req: Req) -> Srv | None:
         ranking = self.ranking(req.customer)
         # What is out past its response target is lost or hung, or will be: it takes up no room.
         if self.window.full(ranking, sum(1 for s in self.stirred for d in s.out if self.now < d.req.due)):
             return None
         self.fleet.add(self.now, 0.0, 0.0, 1.0)
-        able = [s for s in ranking if self.cold_room(s)]
+        able = [s for s in ranking if self.cold_room(s) and self.surely_there(s)]
         risky = req.risky()
         if risky is not None and req.frontend.effect is Effect.UNIQUED:
             able = [s for s in able if s.place(req.frontend.group) == risky.srv.place(req.frontend.group)]
@@ -703,6 +713,7 @@
             self.window.answered(self.now, d, waited)
             srv.seen.add(self.now, 1.0, waited)
             self.fleet.add(self.now, 1.0, waited)
+            srv.shown = d.sent if result is Result.OK else srv.shown
             if result is Result.OK and srv.strikes and self.now >= srv.closed_until:
                 srv.strikes -= 1
                 if not srv.strikes:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -41,7 +41,7 @@
                 await asyncio.sleep(max(0.0, call[1] - loop.time()))
                 if call[0] == 200:
                     self.watched.add(node)
-                    await asyncio.sleep(4.0)  # nothing new
+                    await asyncio.sleep(float(head.split(b"timeout_ms=")[1].split(b" ")[0]) / 1000.0)
             status, text = (call[0], b"") if b"timeout_ms=1 " not in head and call[0] != 200 else (200, EMPTY)
             writer.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
             left_at = loop.time()
@@ -54,7 +54,7 @@
             for n in range(NODES):
                 serve = lambda r, w, n=n: shared.serve(n, r, w)  # noqa: E731
                 await net.host(f"agent{n}").listen(serve, (f"a{n}", 1), 65536, 16)
-                node = Discovery(net.host(f"n{n}"), (f"a{n}", 1), 0, list, list, seed=n)
+                node = Discovery(net.host(f"n{n}"), (f"a{n}", 1), 0, list, list, n, 40_000.0)
                 node.begin()
             await asyncio.sleep(20.0)
             return shared
--- /dev/null
+++ b/tests/test_listclock.py
@@ -0,0 +1,162 @@
+"""Silence at each point of a watch, on the virtual clock: what it hid is here before it counts as told."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from random import Random
+from typing import Any
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.discovery import Discovery
+from onyxpost.edge.listclock import AGAIN, ANSWER, MOVED, PAST_WAIT, SILENT, SPREAD_MOST, Failure, ListClock
+from onyxpost.lab.virtual import Network, run
+
+GRACE = 250.0  # ms of a drain: an answer past that is a broken rule
+
+
+class Agent:
+    """Answers at once with what it holds, else when the wait is over. From `silent_at` (ms) on it is silent
+    on the connections that are open then, `halfway`: one byte short of an answer; new ones it answers."""
+
+    def __init__(self, silent_at: float, halfway: bool = False) -> None:
+        self.silent_at, self.halfway = silent_at, halfway
+        self.news_at, self.status = float("inf"), 200
+        self.questions: list[tuple[float, float]] = []  # when, its wait
+        self.fell_silent = False
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        opened = self.now()
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (OSError, EOFError):
+                return
+            wait = float(head.split(b"timeout_ms=")[1].split(b" ")[0]) if b"timeout_ms" in head else 0.0
+            self.questions.append((self.now(), wait))
+            if b"since=2" in head or (b"since=1" in head and self.now() < self.news_at):
+                ends = self.now() + wait
+                if b"since=1" in head and self.news_at < ends:
+                    ends = self.news_at
+                await asyncio.sleep(max(0.0, ends - self.now()) / 1000.0)
+            new = self.now() >= self.news_at
+            row = b'{"instanceId":"s0","hostPort":"h:1","lifecycle":"draining"}' if new else b""
+            text = b'{"generation":%d,"reset":false,"instances":[%s]}' % (1 + new, row)
+            whole = b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n" % (self.status, len(text)) + text
+            if self.now() >= self.silent_at >= opened:
+                self.fell_silent = True
+                writer.write(whole[: -1 if self.halfway else 0])
+                await asyncio.sleep(3600.0)
+            writer.write(whole)
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time() * 1000.0
+
+
+class Silence(unittest.TestCase):
+    def heard(
+        self, agents: list[Agent], most: float, story: Any = None, failed_call: float = 0.0
+    ) -> list[Any]:
+        """(when, what) the node's rounds were handed within `most` ms."""
+
+        async def play() -> list[Any]:
+            net, got, loop = Network(Random(1)), [], asyncio.get_running_loop()
+            for n, agent in enumerate(agents):
+                await net.host(f"agent{n}").listen(agent.serve, (f"a{n}", 1), 65536, 16)
+            post = lambda value: got.append((loop.time() * 1000.0, value))  # noqa: E731
+            node = Discovery(net.host("n"), ("a0", 1), 1, post, lambda log: None, 7, failed_call)
+            node.begin()
+            if story is not None:
+                await story(node)
+            await asyncio.sleep(most / 1000.0 - loop.time())
+            node.close()
+            return got
+
+        return run(play())
+
+    def drain_heard(self, got: list[Any]) -> float:
+        return next((at for at, value in got if isinstance(value, m.Listed) and value.rows), float("inf"))
+
+    def test_wherever_a_watch_falls_silent_what_it_missed_is_here_before_it_counts_as_told(self) -> None:
+        for halfway in (False, True):
+            for silent_at in (1.0, 2.0, 500.0, 2999.0, 3003.0, 4500.0, 5999.0, 6010.0):
+                agent = Agent(silent_at, halfway)
+                agent.news_at = silent_at + 0.5
+                got = self.drain_heard(self.heard([agent], silent_at + 9000.0))
+                self.assertTrue(agent.fell_silent)
+                asked, wait = [q for q in agent.questions if q[0] <= silent_at + 2.0][-1]
+                counts = max(silent_at + SILENT, asked + wait + PAST_WAIT)
+                self.assertLess(got, counts, f"silent from {silent_at} ms, halfway: {halfway}")
+                # Room for a question that discovery itself works on for 2 s.
+                self.assertLessEqual(got, counts - ANSWER + AGAIN + 50.0)
+
+    def test_after_a_move_a_silent_new_agent_is_asked_anew_within_the_4_s(self) -> None:
+        async def story(node: Discovery) -> None:
+            await asyncio.sleep(1.0)
+            node.move(("a1", 1))
+
+        old, new = Agent(float("inf")), Agent(1000.0)
+        new.news_at = 0.0
+        self.assertLess(self.drain_heard(self.heard([old, new], 8000.0, story)), 1000.0 + MOVED)
+
+    def test_an_outage_ends_with_the_first_answer_and_is_not_taken_for_hidden_news(self) -> None:
+        agent = Agent(500.0)
+        agent.news_at, serve = 8500.0, agent.serve
+
+        async def down(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while 500.0 <= agent.now() < 8500.0:
+                await asyncio.sleep(0.01)
+            agent.silent_at = float("inf") if agent.now() > 8000.0 else agent.silent_at
+            await serve(reader, writer)
+
+        agent.serve = down  # type: ignore[method-assign]
+        got = self.heard([agent], 10_000.0)
+        self.assertLess(self.drain_heard(got), 8500.0 + GRACE)
+        self.assertFalse([v for _, v in got if isinstance(v, m.ListFailed) and v.stale])
+
+    def test_an_agent_that_speaks_and_tells_nothing_may_hide_news_from_6_s_on(self) -> None:
+        agent = Agent(float("inf"))
+        agent.status = 503
+
+        async def story(node: Discovery) -> None:
+            await asyncio.sleep(12.0)
+            agent.status, agent.news_at = 200, 12_000.0
+
+        got = self.heard([agent], 20_000.0, story)
+        stale = [at for at, v in got if isinstance(v, m.ListFailed) and v.stale]
+        self.assertEqual(len(stale), 1)
+        self.assertAlmostEqual(stale[0], SILENT, delta=10.0)
+        asked = [at for at, _ in agent.questions]
+        self.assertGreater(sum(1 for at in asked if 100.0 < at < SILENT), 0)  # strewn, but not past it
+        self.assertLess(self.drain_heard(got), float("inf"))
+
+    def test_where_lists_are_asked_for_a_call_turned_away_hides_nothing_for_a_time(self) -> None:
+        agent = Agent(float("inf"))
+        agent.status = 503
+        got = self.heard([agent], 60_000.0, failed_call=40_000.0)
+        self.assertFalse([v for _, v in got if isinstance(v, m.ListFailed) and v.stale])
+        gaps = [b - a for (a, _), (b, _) in zip(agent.questions, agent.questions[1:], strict=False)]
+        self.assertGreater(max(gaps), SILENT)  # strewn wide: all nodes in step would never get free
+        self.assertLess(len(agent.questions), 15)
+
+
+class Strewn(unittest.TestCase):
+    def test_the_next_question_leaves_time_for_its_answer_before_news_counts_as_told(self) -> None:
+        for failed_call in (0.0, 8000.0, 40_000.0):
+            for seed in range(20):
+                clock, now = ListClock(Random(seed), failed_call), 1_000_000.0
+                clock.asked(now, 1.0)
+                pauses = []
+                for _ in range(4):
+                    pauses.append(clock.failed(now, Failure.TURNED_AWAY))
+                    left = clock.stale_in(now)
+                    assert left is not None
+                    if left > ANSWER + AGAIN:
+                        self.assertLessEqual(pauses[-1] + ANSWER, left)
+                    now += pauses[-1]
+                    clock.asked(now, 1.0)
+                self.assertLessEqual(max(pauses), SPREAD_MOST)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,6 +10,7 @@
 from onyxpost.edge import clients, servers
 from onyxpost.edge import messages as m
 from onyxpost.edge.discovery import Discovery
+from onyxpost.edge.listclock import ListClock
 from onyxpost.edge.peers import Peers
 from onyxpost.interface import Result, Standing
 from tests.host import ASKED, PAGE, AppServer, Edge, node_fields, pool_of, still, wire_req
@@ -423,7 +424,7 @@
 
     async def test_an_agent_that_talks_nonsense_or_falls_silent_is_asked_again(self) -> None:
         nonsense = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"
-        with mock.patch.multiple("onyxpost.edge.discovery", WAIT=300, GRACE=100.0):
+        with mock.patch.object(ListClock, "asked", lambda self, now, wait, moved=False: 400.0):
             async with AppServer((nonsense, False), None, (self.told(5, "up"), False), None) as agent:
                 heard, events = await self.watch(agent, 4)
         self.assertEqual([type(h) for h in heard], [m.ListFailed, m.Listed])
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -42,6 +42,20 @@
 
 
 class Servers(unittest.TestCase):
+    def test_with_a_list_that_may_hide_drains_only_who_just_took_a_req_gets_more(self) -> None:
+        host = Host(servers=3, drain_grace=250.0)
+        ((_, req, server, _),) = host.arrive()
+        host.now += 60.0
+        host.end(req, Result.OK, 60.0)
+        host.feed("list_stale")
+        ((_, again, same, _),) = host.arrive()  # half of the grace is not over since it was sent the first
+        self.assertEqual(same, server)
+        self.assertEqual(kinds(host.end(again, Result.ERROR)), ["deny"])  # and nobody else does
+        host.now += 65.0
+        self.assertEqual(kinds(host.arrive()), ["deny"])
+        host.list(complete=False)
+        self.assertEqual(kinds(host.arrive()), ["dispatch"])
+
     def test_a_draining_server_gets_nothing_new(self) -> None:
         host = Host(servers=2)
         ((_, _, server, _),) = host.arrive()
