Errors have kinds that an operator acts on differently, in one errors module a package

Needed: one Unreadable stood for a file that is not there, one that is no JSON, a wrong type and a contradiction; what could be done stood nowhere, and an address in use was printed as it came. Changed: onyxpost/errors.py has the kinds that all share, edge/, plan/, forward/, lab/ and simhost/ their own, all on OperatorError. Command line and log carry the remedy. serve and plan share onyxpost/process.py. An older `planners` version at a forwarder's SIGHUP is refused as it is at a planner's; it was passed over in silence while the rest of the file took effect.

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta
 
+from onyxpost.errors import Contradiction, NotOpened, NotParsed, WrongValue
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, Plan
 from onyxpost.logic import Gateway
 
@@ -18,10 +19,6 @@
 GROUPS = {"all": Group.ALL, "zone": Group.HALL, "cell": Group.CELL}
 
 
-class Unreadable(Exception):
-    """A message or file without a field that it must have, or with a value that is not known."""
-
-
 @dataclass(frozen=True, slots=True)
 class Deployment:
     """What one edge node is told of its deployment. Times are milliseconds."""
@@ -120,14 +117,26 @@
         if isinstance(data, bytes):
             return msgspec.json.decode(data, type=kind)
         return msgspec.convert(data, type=kind)
+    except msgspec.ValidationError as err:
+        raise WrongValue(str(err), where) from err
     except (msgspec.DecodeError, UnicodeDecodeError) as err:
-        raise Unreadable(f"{where}: {err}") from err
+        raise NotParsed(str(err), where) from err
+
+
+def in_file(path: str) -> dict[str, Any]:
+    """What a JSON file says, its values not yet checked."""
+    try:
+        with open(path, "rb") as file:
+            return typed(file.read(), dict[str, Any], path)
+    except OSError as err:
+        raise NotOpened(str(err.strerror), path) from err
 
 
 def made(given: GivenDeployment) -> Deployment:
     bounds, rules = given.bounds, given.rules
     if given.ordinal >= given.n_instances:
-        raise Unreadable(f"{given.ordinal} of {given.n_instances} nodes, numbered from 0 - at `$.ordinal`")
+        what = f"{given.ordinal} of {given.n_instances} nodes, numbered from 0 - at `$.ordinal`"
+        raise Contradiction(what)
     grace, connect = rules.drain_grace_us, bounds.connect_timeout_us
     shortest = min(grade.deadline_us for grade in given.grades)
     return Deployment(
--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -11,6 +11,7 @@
 
 from onyxpost.deployment import Deployment
 from onyxpost.edge import messages as m
+from onyxpost.edge.errors import NotTaken
 from onyxpost.edge.exchange import lean, message
 from onyxpost.edge.net import Listener, Net
 
@@ -122,7 +123,7 @@
             self.events(client, http)
         except h11.RemoteProtocolError as err:
             self.refuse(client, max(400, err.error_status_hint), str(err), close=True)
-        except m.NotTaken as err:
+        except NotTaken as err:
             with contextlib.suppress(h11.RemoteProtocolError):  # the rest of it, as far as it is here
                 while http.their_state is h11.SEND_BODY and http.next_event() is not h11.NEED_DATA:
                     pass
@@ -142,7 +143,7 @@
                 case h11.Data(data=data):
                     client.body += data
                     if len(client.body) > m.BODY_MOST:
-                        raise m.NotTaken(413, "body over 64 KiB")
+                        raise NotTaken(413, "body over 64 KiB")
                 case h11.EndOfMessage():
                     self.whole(client)
                 case _:
--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -11,10 +11,11 @@
 
 import h11
 
-from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
+from onyxpost.edge.errors import TurnedAway
 from onyxpost.edge.exchange import READ, again, answered, message
 from onyxpost.edge.net import Net
+from onyxpost.errors import Unreadable
 
 WAIT = 5000  # ms that one watch may wait
 GRACE = 1000.0  # ms past that wait in which a live agent answers
@@ -26,10 +27,6 @@
 LIST_MOST = 8 * 1024 * 1024
 
 
-class TurnedAway(Unreadable):
-    """Discovery has more questions than it can answer: asked again at once by all it would stay so."""
-
-
 class Discovery:
     def __init__(
         self, net: Net, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
--- a/onyxpost/edge/exchange.py
+++ b/onyxpost/edge/exchange.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from onyxpost.edge.errors import Cut
+
 READ = 65536  # bytes asked of a stream at once
 FRAMING = (b"content-length", b"transfer-encoding")
 AHEAD_MOST = 8  # 1xx answers before the answer
@@ -14,10 +16,6 @@
 Read = Callable[[], Awaitable[bytes]]
 
 
-class Cut(OSError):
-    """The connection ended before a whole answer had come, or nothing tells where the answer ends."""
-
-
 def lean(writer: asyncio.StreamWriter, most: int) -> None:
     """asyncio asks for 256 KiB at a time, whatever the stream's limit."""
     writer.transport.max_size = most  # type: ignore[attr-defined]
--- a/onyxpost/edge/messages.py
+++ b/onyxpost/edge/messages.py
@@ -10,7 +10,9 @@
 
 import h11
 
-from onyxpost.deployment import Deployment, Given, Unreadable, typed
+from onyxpost.deployment import Deployment, Given, typed
+from onyxpost.edge.errors import ListUnusable, NotTaken
+from onyxpost.errors import NoAddress, Unreadable
 from onyxpost.interface import Effect, ListRow, Result, Standing
 
 BODY_MOST = 64 * 1024
@@ -199,14 +201,6 @@
 Outgoing = Send | Close | Withdraw | Leave | Answer | Tell | Wake | Spend | Unused | Watch | Log
 
 
-class NotTaken(Exception):
-    """A req that cannot be taken: nothing of it is sent on."""
-
-    def __init__(self, status: int, why: str, cut: bool = False) -> None:
-        super().__init__(why)
-        self.status, self.cut = status, cut  # cut: what follows cannot be told from it
-
-
 # From and to clients
 
 
@@ -313,8 +307,8 @@
 
 def address(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    if not host or not 0 <= int(port) < 65536:
-        raise ValueError(f"no address: {text!r}")
+    if not host or not port.isdecimal() or len(port) > 5 or not int(port) < 65536:
+        raise NoAddress(f"no address: {text[:80]!r}")
     return host, int(port)
 
 
@@ -338,14 +332,20 @@
 
 def listed(data: Any) -> Listed:
     """`data`: a list as discovery sends it, or its text."""
-    return told(typed(data, Rows, "list of servers"))
-
-
-def told(rows: Rows) -> Listed:
     try:
-        addresses = {row.instanceId: address(row.hostPort) for row in rows.instances if row.hostPort}
-    except ValueError as err:
-        raise Unreadable(f"list of servers: {err}") from err
+        return told(typed(data, Rows, "list of servers"))
+    except Unreadable as err:
+        raise ListUnusable(err.what, "list of servers") from err
+
+
+def told(rows: Rows, place: str = "$") -> Listed:
+    addresses = {}
+    for i, row in enumerate(rows.instances):
+        if row.hostPort:
+            try:
+                addresses[row.instanceId] = address(row.hostPort)
+            except NoAddress as err:
+                raise NoAddress(f"{err.what} - at `{place}.instances[{i}].hostPort`") from err
     return Listed(rows.generation, rows.reset, [_row(row) for row in rows.instances], addresses)
 
 
--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 import socket
 import time
@@ -11,6 +12,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from onyxpost.edge import messages as m
+from onyxpost.errors import NotListening
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -61,7 +63,10 @@
         return self.begun + time.monotonic() * 1000.0
 
     async def listen(self, serve: Serve, address: m.Address, limit: int, accepts: int) -> asyncio.Server:
-        listener = socket.create_server(address, backlog=1024)
+        try:
+            listener = socket.create_server(address, backlog=1024)
+        except OSError as err:
+            raise _not_had(address, err) from err
         server = await asyncio.start_server(serve, sock=listener, limit=limit, backlog=accepts)
         listener.listen(1024)  # asyncio takes as many at once as it lets wait
         return server
@@ -82,7 +87,11 @@
         return Line(reader, asyncio.StreamWriter(transport, protocol, reader, loop), lambda: _silent(sock))
 
     async def datagrams(self, protocol: asyncio.DatagramProtocol, address: m.Address) -> None:
-        await asyncio.get_running_loop().create_datagram_endpoint(lambda: protocol, local_addr=address)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_datagram_endpoint(lambda: protocol, local_addr=address)
+        except OSError as err:
+            raise _not_had(address, err) from err
 
     def signals(self, stop: Callable[[], None], reread: Callable[[], None]) -> None:
         loop = asyncio.get_running_loop()
@@ -100,6 +109,12 @@
         gc.freeze()
 
 
+def _not_had(address: m.Address, err: OSError) -> NotListening:
+    """asyncio puts a text of its own in place of the system's, but the number stays."""
+    system = os.strerror(err.errno) if err.errno and err.errno > 0 else ""
+    return NotListening(system or str(err), "{}:{}".format(*address))
+
+
 def _silent(sock: socket.socket) -> bool:
     try:
         sock.recv(1, socket.MSG_PEEK)
--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -9,8 +9,9 @@
 import msgspec
 from msgspec import Meta
 
-from onyxpost.deployment import Deployment, Given, GivenDeployment, Unreadable, made, typed
+from onyxpost.deployment import Deployment, Given, GivenDeployment, in_file, made, typed
 from onyxpost.edge import messages as m
+from onyxpost.errors import NoAddress, NoFileNamed, Unreadable, WrongValue
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,18 +71,14 @@
     newer than they are."""
     path = environ.get("EDGE_CONFIG")
     if not path:
-        raise Unreadable("EDGE_CONFIG is not set")
-    try:
-        with open(path, "rb") as file:
-            fields = typed(file.read(), dict[str, Any], path)
-    except OSError as err:
-        raise Unreadable(f"{path}: {err.strerror}") from err
-    in_file = fields.get("discovery")
+        raise NoFileNamed("EDGE_CONFIG is not set")
+    fields = in_file(path)
+    by_file = fields.get("discovery")
     for variable, name in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
         if environ.get(variable) and not (again and name in fields):
             fields[name] = environ[variable]
-    if in_file is not None and in_file != fields.get("discovery"):
-        fields["discovery_too"] = in_file  # moved while this node was down, one of them is closed by now
+    if by_file is not None and by_file != fields.get("discovery"):
+        fields["discovery_too"] = by_file  # moved while this node was down, one of them is closed by now
     return decode(fields, path)
 
 
@@ -90,20 +87,20 @@
     try:
         return _node(file)
     except Unreadable as err:
-        raise Unreadable(f"{where}: {err}") from err
+        raise err.placed(where) from err
 
 
 def _node(file: File) -> Node:
     def address(place: str, text: str) -> m.Address:
         try:
             return m.address(text)
-        except ValueError as err:
-            raise Unreadable(f"{err} - at `$.{place}`") from err
+        except NoAddress as err:
+            raise NoAddress(f"{err.what} - at `$.{place}`") from err
 
     try:
         seed = int(file.seed, 16)
     except ValueError:
-        raise Unreadable(f"no hexadecimal number: {file.seed!r} - at `$.seed`") from None
+        raise WrongValue(f"no hexadecimal number: {file.seed[:80]!r} - at `$.seed`") from None
     planners, deployment = None, made(file.settings)
     if (told := file.planners) is not None:
         members = {name: address(f"planners.members.{name}", text) for name, text in told.members.items()}
@@ -118,7 +115,7 @@
         descriptors=file.limits.sockets,
         peer_listen=address("peer_listen", file.peer_listen) if file.peer_listen else None,
         peers=[address(f"peers[{i}]", peer) for i, peer in enumerate(file.peers)],
-        known=m.told(file.known)._replace(complete=True),
+        known=m.told(file.known, "$.known")._replace(complete=True),
         log_level=file.log_level,
         deployment=deployment,
         planners=planners,
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -9,7 +9,6 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
 from onyxpost.edge.clients import Clients
 from onyxpost.edge.discovery import Discovery
@@ -19,6 +18,7 @@
 from onyxpost.edge.peers import Peers
 from onyxpost.edge.reducer import Reducer
 from onyxpost.edge.servers import Servers
+from onyxpost.errors import Older, Unreadable
 
 if TYPE_CHECKING:
     from onyxpost.forward.client import Planners
@@ -134,8 +134,12 @@
         """The file is read whole before any of it takes effect; one that cannot be used changes nothing."""
         try:
             told = self.reread()
+            if self.planners is not None and told.planners is not None:
+                held, brought = self.planners.book.version, told.planners.version
+                if brought < held:
+                    raise Older(f"version {brought} is older than {held} - at `$.planners.version`")
         except Unreadable as err:
-            self.log(m.Log("reload refused", {"cause": str(err)[:200]}, logging.WARNING))
+            self.log(m.Log("reload refused", dict(err.fields()), logging.WARNING))
             return
         later = ("name", "listen", "peer_listen", "peers", "deployment")
         changed = [name for name in later if getattr(told, name) != getattr(self.node, name)]
--- a/onyxpost/edge/serve.py
+++ b/onyxpost/edge/serve.py
@@ -1,28 +1,17 @@
-"""One edge node as a process: its file read, its log on standard output, its exit code."""
+"""One edge node as a process, by its environment."""
 
 from __future__ import annotations
 
-import asyncio
 import os
-import sys
 from functools import partial
 
-from onyxpost.deployment import Unreadable
+from onyxpost import process
 from onyxpost.edge import node
-from onyxpost.edge.log import Lines
 from onyxpost.edge.program import Program
 
 
 def serve() -> int:
-    try:
-        told = node.read(os.environ)
-    except Unreadable as err:
-        print(f"onyxpost: {err}", file=sys.stderr)
-        return 2
-    lines = Lines(told.name, told.log_level)
-    lines.libraries()
-    try:
-        return asyncio.run(Program(told, lines, partial(node.read, os.environ, again=True)).run())
-    except OSError as err:  # an address that cannot be had
-        print(f"onyxpost: {err}", file=sys.stderr)
-        return 1
+    again = partial(node.read, os.environ, again=True)
+    return process.serve(
+        partial(node.read, os.environ), lambda told, lines: Program(told, lines, again).run()
+    )
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -10,7 +10,8 @@
 import h11
 
 from onyxpost.edge import messages as m
-from onyxpost.edge.exchange import READ, Cut, again, answered, lean, message
+from onyxpost.edge.errors import Cut
+from onyxpost.edge.exchange import READ, again, answered, lean, message
 from onyxpost.edge.net import Line, Net
 from onyxpost.interface import Result
 
--- a/onyxpost/forward/client.py
+++ b/onyxpost/forward/client.py
@@ -11,6 +11,7 @@
 from onyxpost.edge.exchange import READ
 from onyxpost.edge.net import Net
 from onyxpost.forward.book import Book
+from onyxpost.forward.errors import PlannerLost
 from onyxpost.plan import wire as w
 
 BEAT = 0.05  # s between looks at the book
@@ -54,7 +55,7 @@
                 continue
             writer.write(w.frame(message))
             if writer.transport.get_write_buffer_size() > w.BUFFER_MOST:
-                cause = {"planner": planner, "cause": "does not read"}
+                cause = {"planner": planner, **w.DoesNotRead("does not read").fields()}
                 self.log(m.Log("planner cut", cause, logging.WARNING))
                 writer.transport.abort()
                 self.writers.pop(planner, None)
@@ -80,8 +81,9 @@
                 quiet = False
             except (OSError, EOFError, w.Malformed) as err:
                 if not quiet:
-                    cause = {"planner": name, "cause": f"{type(err).__name__}: {err}"[:200]}
-                    self.log(m.Log("planner lost", cause, logging.WARNING))
+                    what = f"{type(err).__name__}: {err}"
+                    lost = err if isinstance(err, w.Malformed) else PlannerLost(what)
+                    self.log(m.Log("planner lost", {"planner": name, **lost.fields()}, logging.WARNING))
                 quiet = name not in self.book.epochs
             self.book.lost(name)
             self.writers.pop(name, None)
--- a/onyxpost/lab/cli.py
+++ b/onyxpost/lab/cli.py
@@ -13,24 +13,25 @@
 
 import click
 
+from onyxpost.errors import OperatorError
 from onyxpost.lab import results
 from onyxpost.lab import scenario as scenarios
-from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.errors import BadOption, Stuck
 
 EXAMPLE = "deploy/example-node.json"
 JOBS = min(8, os.cpu_count() or 1)
 
 
 def told(call: Callable[..., Any]) -> Callable[..., Any]:
-    """What cannot be used is told in one line, exit 2."""
+    """What cannot be used is told in one line, exit 2; what is a bug, exit 1."""
 
     @wraps(call)
     def wrapped(*args: Any, **kwargs: Any) -> Any:
         try:
             return call(*args, **kwargs)
-        except Unusable as err:
-            click.echo(f"onyxpost: {err}", err=True)
-            sys.exit(2)
+        except OperatorError as err:
+            click.echo(f"onyxpost: {err.line()}", err=True)
+            sys.exit(1 if isinstance(err, Stuck) else 2)
 
     return wrapped
 
@@ -134,7 +135,8 @@
     from onyxpost.lab import seeds as virtual
 
     if plant not in virtual.PLANTS:
-        raise Unusable(f"no bug {plant!r}; there are: {', '.join(filter(None, virtual.PLANTS))}")
+        what = f"no bug {plant!r}; there are: {', '.join(filter(None, virtual.PLANTS))}"
+        raise BadOption(what, "--plant")
     chosen, began = runs.seeds(wanted), time.perf_counter()
     outcomes: list[virtual.Outcome] = []
     interrupted = False
@@ -179,16 +181,12 @@
     out: Path | None,
 ) -> None:  # fmt: skip
     """Send open-loop load to the node at ADDRESS, on loopback only."""
-    from onyxpost.deployment import Unreadable
     from onyxpost.edge import messages, node
     from onyxpost.lab import load as sending
 
     wanted = sending.bounded(sending.Load(rate, seconds, customers, connections, seed))
-    try:
-        where = sending.loopback(messages.address(address))
-        known = node.read({"EDGE_CONFIG": str(file)}).deployment
-    except (ValueError, Unreadable) as err:
-        raise Unusable(str(err)) from err
+    where = sending.loopback(messages.address(address))
+    known = node.read({"EDGE_CONFIG": str(file)}).deployment
     counts = sending.send(where, known, wanted)
     click.echo(sending.text(counts))
     if out is not None:
@@ -217,10 +215,7 @@
     from onyxpost.lab.load import loopback
 
     told_faults = standing.script(faults, servers) if faults is not None else standing.Script()
-    try:
-        at = loopback(messages.address(discovery))
-    except ValueError as err:
-        raise Unusable(str(err)) from err
+    at = loopback(messages.address(discovery))
     place = standing.Stand(servers, delay, port, at)
 
     def ready() -> None:
@@ -231,8 +226,6 @@
         served = asyncio.run(standing.run(place, told_faults, seconds, ready, partial(click.echo, err=True)))
     except KeyboardInterrupt:
         return
-    except OSError as err:
-        raise Unusable(f"{discovery}: {err}") from err
     click.echo(f"{served} pages served")
 
 
--- a/onyxpost/lab/load.py
+++ b/onyxpost/lab/load.py
@@ -19,7 +19,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import READ, message
 from onyxpost.interface import Effect, Frontend
-from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.errors import BadOption, NotLoopback
 
 REQS_MOST, SECONDS_MOST, OPEN_MOST = 1_000_000, 3600.0, 20_000
 HIGHEST = 60_000_000  # us: what takes longer counts as this
@@ -41,16 +41,16 @@
             return address
     except ValueError:
         pass
-    raise Unusable(f"{address[0]}: only addresses on loopback, as 127.0.0.1:8081, are sent load")
+    raise NotLoopback("only addresses on loopback are sent load", "{}:{}".format(*address))
 
 
 def bounded(load: Load) -> Load:
     if not 0.0 < load.seconds <= SECONDS_MOST:
-        raise Unusable(f"{load.seconds:g} s: from above 0 to {SECONDS_MOST:.0f}")
+        raise BadOption(f"{load.seconds:g} s: from above 0 to {SECONDS_MOST:.0f}")
     if not 0.0 < load.rate * load.seconds <= REQS_MOST:
-        raise Unusable(f"{load.rate:g} reqs a second for {load.seconds:g} s: at most {REQS_MOST} reqs")
+        raise BadOption(f"{load.rate:g} reqs a second for {load.seconds:g} s: at most {REQS_MOST} reqs")
     if not 0 < load.connections <= OPEN_MOST:
-        raise Unusable(f"{load.connections} connections: from 1 to {OPEN_MOST}")
+        raise BadOption(f"{load.connections} connections: from 1 to {OPEN_MOST}")
     return load
 
 
--- a/onyxpost/lab/report.py
+++ b/onyxpost/lab/report.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from onyxpost.lab.results import read
-from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.errors import NothingInCommon
 
 COLUMNS = {
     "passed_value": "value passed in time, of what was asked for inside quotas",
@@ -78,7 +78,7 @@
 def compare(a: Runs, b: Runs) -> list[Row]:
     both = [name for name in a if name in b]
     if not both:
-        raise Unusable(f"no scenario is in both: {', '.join(a)} / {', '.join(b)}")
+        raise NothingInCommon(f"no scenario is in both: {', '.join(a)} / {', '.join(b)}")
     return [
         Row(name, column, spread(a[name], column), spread(b[name], column))
         for name in both
--- a/onyxpost/lab/runs.py
+++ b/onyxpost/lab/runs.py
@@ -13,7 +13,8 @@
 from onyxpost import logic
 from onyxpost.lab.fleet import World, lines
 from onyxpost.lab.results import encode
-from onyxpost.lab.scenario import Scenario, Unusable, packed, unpacked
+from onyxpost.lab.errors import BadOption
+from onyxpost.lab.scenario import Scenario, packed, unpacked
 
 SEED_MOST = 2**32 - 1
 
@@ -29,7 +30,8 @@
                 raise ValueError
             found += range(first, last + 1)
     except ValueError:
-        raise Unusable(f"seeds {text!r}: numbers from 0 to {SEED_MOST}, as in 1-20 or 1,4,9-12") from None
+        what = f"{text!r}: numbers from 0 to {SEED_MOST}, as in 1-20 or 1,4,9-12"
+        raise BadOption(what, "seeds") from None
     return list(dict.fromkeys(found))
 
 
@@ -48,7 +50,7 @@
                 raise TypeError(name)
         except (ValueError, AttributeError, TypeError):
             why = "a constant of the module and a number, as in Theta.PERIOD=250"
-            raise Unusable(f"{word!r}: {why}") from None
+            raise BadOption(f"{word!r}: {why}", "--with") from None
     return found
 
 
--- a/onyxpost/lab/scenario.py
+++ b/onyxpost/lab/scenario.py
@@ -12,6 +12,7 @@
 from msgspec import Meta
 
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group
+from onyxpost.lab.errors import BadScript, NoSuchFile
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Positive = Annotated[float, Meta(gt=0.0)]
@@ -20,10 +21,6 @@
 Range = tuple[Time, Time]
 
 
-class Unusable(Exception):
-    """A scenario, or a file of results, that cannot be used: one line says why and where."""
-
-
 class Part(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     pass
 
@@ -231,7 +228,7 @@
     try:
         scenario = decode()
     except msgspec.DecodeError as err:  # of its form, or of a value: msgspec names the place
-        raise Unusable(f"{where}: {err}") from err
+        raise BadScript(str(err), where) from err
     _consistent(scenario, where)
     return scenario
 
@@ -245,7 +242,7 @@
         return read(path.read_text(), name)
     except (OSError, UnicodeDecodeError) as err:
         why = getattr(err, "strerror", None) or err
-        raise Unusable(f"{name}: {why}; shipped are: {', '.join(shipped())}") from err
+        raise NoSuchFile(f"{why}; shipped are: {', '.join(shipped())}", name) from err
 
 
 def shipped() -> list[str]:
@@ -287,7 +284,7 @@
 
 def _consistent(s: Scenario, where: str) -> None:
     def refuse(place: str, why: str) -> None:
-        raise Unusable(f"{where}: {why} - at `$.{place}`")
+        raise BadScript(f"{why} - at `$.{place}`", where)
 
     for part, names in RANGES.items():
         for name in names:
--- a/onyxpost/lab/stand.py
+++ b/onyxpost/lab/stand.py
@@ -12,10 +12,11 @@
 import msgspec
 from msgspec import Meta
 
+from onyxpost.deployment import in_file
 from onyxpost.edge import messages as m
 from onyxpost.edge.net import Sockets
 from onyxpost.interface import Standing
-from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.errors import BadScript, NoSuchFile, NotWritten
 from onyxpost.lab.standins import Agent, AppServer, Nobody
 
 Kind = Literal["hang", "fail", "busy", "drop", "slow", "spoil", "drain", "crash", "discovery-silent"]
@@ -37,13 +38,13 @@
     try:
         told = msgspec.toml.decode(path.read_bytes(), type=Script)
     except msgspec.DecodeError as err:
-        raise Unusable(f"{path}: {err}") from err
+        raise BadScript(str(err), str(path)) from err
     except OSError as err:
-        raise Unusable(f"{path}: {err.strerror}") from err
+        raise NoSuchFile(str(err.strerror), str(path)) from err
     for i, fault in enumerate(told.faults):
         if fault.server >= servers:
             why = f"there are {servers} servers, numbered from 0"
-            raise Unusable(f"{path}: {why} - at `$.faults[{i}].server`")
+            raise BadScript(f"{why} - at `$.faults[{i}].server`", str(path))
     return told
 
 
@@ -121,12 +122,12 @@
 
 def write_node(example: Path, out: Path, stand: Stand) -> None:
     """The example node's file, with these stand-ins as its discovery and its known list."""
+    fields = in_file(str(example))
+    fields |= {"discovery": "{}:{}".format(*stand.agent.address), "known": stand.known()}
     try:
-        fields = msgspec.json.decode(example.read_bytes())
-        fields |= {"discovery": "{}:{}".format(*stand.agent.address), "known": stand.known()}
         out.write_bytes(msgspec.json.format(msgspec.json.encode(fields)))
-    except (OSError, ValueError, TypeError) as err:
-        raise Unusable(f"{example}: {err}") from err
+    except OSError as err:
+        raise NotWritten(str(err.strerror), str(out)) from err
 
 
 async def run(
--- a/onyxpost/lab/town.py
+++ b/onyxpost/lab/town.py
@@ -26,7 +26,7 @@
 from onyxpost.lab.fleet import Quota
 from onyxpost.lab.load import Client
 from onyxpost.lab.rules import Bucket
-from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.errors import BadOption, NotStarted
 from onyxpost.lab.standins import Agent, AppServer, Nobody
 
 SECONDS_MOST, NODES_MOST, RATE_MOST = 600.0, 64, 2000.0
@@ -50,11 +50,11 @@
 
 def bounded(day: Day) -> Day:
     if not 0.0 < day.seconds <= SECONDS_MOST:
-        raise Unusable(f"{day.seconds:g} s: up to {SECONDS_MOST:.0f}")
+        raise BadOption(f"{day.seconds:g} s: up to {SECONDS_MOST:.0f}")
     if not 0 < day.forwarders <= NODES_MOST or not 0 < day.planners <= 9:
-        raise Unusable(f"{day.forwarders} forwarders, {day.planners} planners: 1 to {NODES_MOST}, 1 to 9")
+        raise BadOption(f"{day.forwarders} forwarders, {day.planners} planners: 1 to {NODES_MOST}, 1 to 9")
     if not 0.0 < day.rate <= RATE_MOST or day.customers < 1:
-        raise Unusable(f"{day.rate:g} reqs a second: up to {RATE_MOST:.0f}, of at least one customer")
+        raise BadOption(f"{day.rate:g} reqs a second: up to {RATE_MOST:.0f}, of at least one customer")
     return day
 
 
@@ -223,7 +223,8 @@
                     break
                 await asyncio.sleep(0.05)
             else:
-                raise Unusable(f"no node listens at 127.0.0.1:{port}; its log is in {self.folder}")
+                what = f"no node listens; its log is in {self.folder}"
+                raise NotStarted(what, f"127.0.0.1:{port}")
 
     async def kill_planners(self) -> None:
         chance = Random(f"{self.day.seed}/kills")
--- a/onyxpost/lab/virtual.py
+++ b/onyxpost/lab/virtual.py
@@ -14,15 +14,12 @@
 
 from onyxpost.edge import messages as m
 from onyxpost.edge.net import Line, Reader, Serve
+from onyxpost.lab.errors import Stuck
 
 EPOCH = 1_000_000_000_000.0  # Unix ms at a run's start
 STUCK = 200_000  # turns of the loop at one time: something goes round in circles
 
 
-class Stuck(RuntimeError):
-    """Nothing is due any more, or time does not get on."""
-
-
 class _Jump(selectors.BaseSelector):
     """Waits for nothing: it moves the time on by as long as the loop would have waited."""
 
--- a/onyxpost/plan/file.py
+++ b/onyxpost/plan/file.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
 from msgspec import Meta
 
-from onyxpost.deployment import Given, GivenPlan, Unreadable, plans, typed
+from onyxpost.deployment import Given, GivenPlan, in_file, plans, typed
 from onyxpost.edge import messages as m
 from onyxpost.edge.node import Members
+from onyxpost.errors import Contradiction, NoAddress
 from onyxpost.interface import Plan
 from onyxpost.plan.ledger import Terms
 
@@ -39,36 +39,26 @@
     log_level: str
 
 
-def addresses(members: Mapping[str, str], place: str) -> dict[str, m.Address]:
-    found = {}
-    for name, text in members.items():
-        try:
-            found[name] = m.address(text)
-        except ValueError as err:
-            raise Unreadable(f"{err} - at `$.{place}.members.{name}`") from err
-    return found
+def _address(text: str, where: str, place: str) -> m.Address:
+    try:
+        return m.address(text)
+    except NoAddress as err:
+        raise NoAddress(f"{err.what} - at `$.{place}`", where) from err
 
 
 def read(path: str) -> PlannerNode:
-    try:
-        with open(path, "rb") as file:
-            fields = typed(file.read(), dict[str, Any], path)
-    except OSError as err:
-        raise Unreadable(f"{path}: {err.strerror}") from err
-    return decode(fields, path)
+    return decode(in_file(path), path)
 
 
 def decode(fields: Any, where: str = "planner") -> PlannerNode:
     file = typed(fields, File, where)
-    try:
-        listen = m.address(file.listen)
-        addresses(file.planners.members, "planners")
-    except (ValueError, Unreadable) as err:
-        raise Unreadable(f"{where}: {err}") from err
+    listen = _address(file.listen, where, "listen")
+    for name, text in file.planners.members.items():
+        _address(text, where, f"planners.members.{name}")
     if file.name not in file.planners.members:
-        raise Unreadable(f"{where}: {file.name} is none of the planners - at `$.planners.members`")
+        raise Contradiction(f"{file.name} is none of the planners - at `$.planners.members`", where)
     if len(set(file.forwarders)) < len(file.forwarders):
-        raise Unreadable(f"{where}: a forwarder twice - at `$.forwarders`")
+        raise Contradiction("a forwarder twice - at `$.forwarders`", where)
     return PlannerNode(
         file.name, listen, file.planners.version, tuple(sorted(file.planners.members)),
         tuple(file.forwarders), tuple(plans(file.packages)), Terms(file.lease_ms, file.drift),
--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -8,11 +8,12 @@
 import secrets
 from collections.abc import Callable
 
-from onyxpost.deployment import Unreadable
 from onyxpost.edge.log import Lines
 from onyxpost.edge.net import Listener, Net, Sockets
+from onyxpost.errors import Older, Unreadable
 from onyxpost.plan import wire as w
 from onyxpost.plan.council import HEARD, Council, owner
+from onyxpost.plan.errors import TakesRestart
 from onyxpost.plan.file import PlannerNode
 from onyxpost.plan.ledger import Ledger, Refused
 
@@ -64,17 +65,17 @@
         try:
             told = self.reread()
         except Unreadable as err:
-            self.log("reload refused", logging.WARNING, cause=str(err)[:200])
+            self.log("reload refused", logging.WARNING, **err.fields())
             return
         now = self.net.clock()
         if told.version < self.node.version:
-            cause = f"version {told.version} is older than {self.node.version}"
-            self.log("reload refused", logging.WARNING, cause=cause)
+            older = Older(f"version {told.version} is older than {self.node.version}")
+            self.log("reload refused", logging.WARNING, **older.fields())
             return
         if told.terms != self.node.terms or told.share != self.node.share or told.name != self.node.name:
             # Leases that are out were granted by the old ones; a new life waits them out.
-            cause = "lease_ms, drift, share and name take a restart"
-            self.log("reload refused", logging.WARNING, cause=cause)
+            fixed = TakesRestart("lease_ms, drift, share and name take a restart")
+            self.log("reload refused", logging.WARNING, **fixed.fields())
             return
         self.node = told
         if self.council.change(now, told.forwarders, told.version):
@@ -140,7 +141,7 @@
                 self.take(name, message)
         except (OSError, EOFError, w.Malformed) as err:
             if isinstance(err, w.Malformed):
-                self.log("connection ended", logging.WARNING, forwarder=name, cause=str(err)[:200])
+                self.log("connection ended", logging.WARNING, forwarder=name, **err.fields())
         finally:
             if name and self.writers.get(name) is writer:
                 del self.writers[name]
@@ -187,5 +188,6 @@
             return
         writer.write(w.frame(message))
         if writer.transport.get_write_buffer_size() > w.BUFFER_MOST:
-            self.log("connection ended", logging.WARNING, forwarder=name, cause="does not read")
+            cut = w.DoesNotRead("does not read").fields()
+            self.log("connection ended", logging.WARNING, forwarder=name, **cut)
             writer.transport.abort()
--- a/onyxpost/plan/wire.py
+++ b/onyxpost/plan/wire.py
@@ -12,6 +12,9 @@
 import msgspec
 from msgspec import Meta
 
+from onyxpost.plan.errors import DoesNotRead as DoesNotRead
+from onyxpost.plan.errors import Malformed as Malformed
+
 T = TypeVar("T")
 
 PROTOCOL = 1
@@ -23,10 +26,6 @@
 Units = Annotated[int, Meta(ge=0, le=1_000_000)]
 
 
-class Malformed(Exception):
-    """What came cannot be a message: its connection ends."""
-
-
 class Message(msgspec.Struct, forbid_unknown_fields=True, tag_field="say"):
     pass
 
--- a/onyxpost/simhost/__main__.py
+++ b/onyxpost/simhost/__main__.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from onyxpost.simhost.host import Host, WireError
+from onyxpost.simhost.errors import WireError
+from onyxpost.simhost.host import Host
 
 
 def main() -> int:
@@ -14,7 +15,8 @@
         try:
             reply = host.batch(msgspec.json.decode(line))
         except (msgspec.DecodeError, WireError) as err:
-            print(f"onyxpost.simhost: malformed line: {err}", file=sys.stderr)
+            wrong = err if isinstance(err, WireError) else WireError(str(err))
+            print(f"onyxpost.simhost: malformed line: {wrong.line()}", file=sys.stderr)
             return 2
         out.write(msgspec.json.encode(reply) + b"\n")
         out.flush()
--- a/onyxpost/simhost/decode.py
+++ b/onyxpost/simhost/decode.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 
 from onyxpost import deployment
-from onyxpost.deployment import Fields, Unreadable
+from onyxpost.deployment import Fields
 from onyxpost.interface import ListRow, Result, Standing
 from onyxpost.logic import Gateway
+from onyxpost.simhost.errors import WireError
 
 RESULTS = {
     "delivered": Result.OK,
@@ -26,7 +27,7 @@
     try:
         return deployment.decode(fields["params"]).gateway(now, fields["init_seed"])
     except KeyError as err:
-        raise Unreadable(f"Attach: KeyError: {err}") from err
+        raise WireError(f"KeyError: {err}", "Attach") from err
 
 
 def _row(row: Fields) -> ListRow:
@@ -84,8 +85,8 @@
     if name in ("Total", "CheckResult"):  # answers of the counter and to probes, which the module never asks
         return None
     if name not in EVENTS:
-        raise Unreadable(f"unknown event {name}")
+        raise WireError(f"unknown event {name}")
     try:
         return EVENTS[name](fields)
     except (KeyError, TypeError, ValueError) as err:
-        raise Unreadable(f"{name}: {type(err).__name__}: {err}") from err
+        raise WireError(f"{type(err).__name__}: {err}", name) from err
--- /dev/null
+++ b/onyxpost/simhost/errors.py
@@ -0,0 +1,11 @@
+"""The errors of the simulator's host."""
+
+from __future__ import annotations
+
+from onyxpost.errors import OperatorError
+
+
+class WireError(OperatorError):
+    """A line that is not of the wire."""
+
+    remedy = "see that simulator and host are of the same version of the wire, and that no line was cut"
--- a/onyxpost/simhost/host.py
+++ b/onyxpost/simhost/host.py
@@ -5,14 +5,11 @@
 import traceback
 from typing import Any
 
-from onyxpost.deployment import Unreadable
+from onyxpost.errors import Unreadable
 from onyxpost.logic import Gateway
 from onyxpost.simhost import decode
 from onyxpost.simhost.encode import Actions
-
-
-class WireError(Exception):
-    """A line that is not of the wire."""
+from onyxpost.simhost.errors import WireError
 
 
 class Host:
@@ -33,8 +30,10 @@
             actions = Actions(node, output)
             try:
                 self._play(node, now, events, actions)
+            except WireError:
+                raise
             except Unreadable as err:
-                raise WireError(str(err)) from err
+                raise WireError(err.what, err.where) from err
             except Exception as err:
                 where = traceback.extract_tb(err.__traceback__)[-1]
                 actions.fault(f"{type(err).__name__}: {err} ({where.name}, line {where.lineno})")
--- a/tests/test_file_and_log.py
+++ b/tests/test_file_and_log.py
@@ -6,10 +6,10 @@
 import unittest
 from typing import Any
 
-from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
 from onyxpost.edge import node
 from onyxpost.edge.log import Lines
+from onyxpost.errors import Unreadable
 from tests.host import SETTINGS, node_fields
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,7 +14,8 @@
 from onyxpost.cli import main
 from onyxpost.lab import results
 from onyxpost.lab.fleet import World, totals
-from onyxpost.lab.scenario import Scenario, Unusable, load, read, resized, shipped
+from onyxpost.lab.errors import Unusable
+from onyxpost.lab.scenario import Scenario, load, read, resized, shipped
 
 SMALL = """
 name = "small"
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -12,7 +12,7 @@
 from onyxpost.edge.log import Lines
 from onyxpost.edge.program import Program
 from onyxpost.lab import load, stand
-from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.errors import Unusable
 from tests.host import PAGE, AppServer, node_fields
 
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -9,10 +9,12 @@
 from onyxpost import deployment
 from onyxpost.edge import messages as m
 from onyxpost.edge import node
+from onyxpost.edge.errors import NotTaken
 from onyxpost.edge.reducer import Reducer
+from onyxpost.errors import Unreadable
 from onyxpost.interface import Result
+from onyxpost.simhost.errors import WireError
 from onyxpost.simhost.host import Host as SimHost
-from onyxpost.simhost.host import WireError
 from tests.host import ASKED, SETTINGS, node_fields
 
 KNOWN = deployment.decode(SETTINGS)
@@ -183,11 +185,11 @@
             ("quota-info", "units=1,spread=3,first=0"), ("quota-info", "units=1,spread=1,first=2"),
             ("quota-info", "units=%s,spread=1,first=0" % ("9" * 5000)), ("content-length", "5"),
         ):  # fmt: skip
-            with self.subTest(name=name, value=value), self.assertRaises(m.NotTaken) as caught:
+            with self.subTest(name=name, value=value), self.assertRaises(NotTaken) as caught:
                 self.asked((name, value))
             self.assertEqual(caught.exception.status, 400)
         for target, status in (("/other/7", 404), ("/", 404), ("/toll", 405)):
-            with self.subTest(target=target), self.assertRaises(m.NotTaken) as caught:
+            with self.subTest(target=target), self.assertRaises(NotTaken) as caught:
                 self.asked(target=target)
             self.assertEqual(caught.exception.status, status)
 
@@ -216,7 +218,7 @@
 class Told(unittest.TestCase):
     def test_settings_that_no_module_can_be_made_of_are_told_in_one_line(self) -> None:
         for wrong in ({"grades": []}, {"n_instances": 0}, {"ordinal": 2}, {"rules": None}):
-            with self.subTest(wrong=wrong), self.assertRaises(deployment.Unreadable):
+            with self.subTest(wrong=wrong), self.assertRaises(Unreadable):
                 node.decode(node_fields(settings=SETTINGS | wrong))
         attach = {"Attach": {"node_id": 0, "init_seed": 3, "params": SETTINGS | {"grades": []}}}
         with self.assertRaises(WireError):
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -6,10 +6,10 @@
 import unittest
 from typing import Any
 
-from onyxpost.deployment import Unreadable
 from onyxpost.edge import node
+from onyxpost.errors import Unreadable
 from onyxpost.lab import town
-from onyxpost.lab.scenario import Unusable
+from onyxpost.lab.errors import Unusable
 from onyxpost.plan import file
 from tests.host import node_fields
 
