--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -14,16 +14,23 @@
     "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.cli",
 )  # fmt: skip
 PROBE = """
-import sys, onyxpost.edge.serve
-print(*sorted(name for name in sys.modules if name.split(".")[0] in {0} or name in {0}))
+import sys, onyxpost.{0}.serve
+print(*sorted(name for name in sys.modules if name.split(".")[0] in {1} or name in {1}))
 """
 
 
 class CommandLine(unittest.TestCase):
     def test_a_node_that_serves_loads_no_tool(self) -> None:
-        probe = [sys.executable, "-c", PROBE.format(HEAVY)]
-        loaded = subprocess.run(probe, capture_output=True, text=True, check=True).stdout.split()
-        self.assertEqual(loaded, [])
+        self.assertEqual(self.loaded("edge", HEAVY), [])
+        self.assertIn("onyxpost.process", self.loaded("edge", ("onyxpost.process", "none")))
+
+    def test_a_planner_shares_what_a_process_needs_without_loading_a_node(self) -> None:
+        node = ("program", "clients", "servers", "reducer", "discovery", "serve")
+        self.assertEqual(self.loaded("plan", tuple(f"onyxpost.edge.{name}" for name in node)), [])
+
+    def loaded(self, package: str, names: tuple[str, ...]) -> list[str]:
+        probe = [sys.executable, "-c", PROBE.format(package, names)]
+        return subprocess.run(probe, capture_output=True, text=True, check=True).stdout.split()
 
     def test_a_file_that_cannot_be_used_is_one_line_and_exit_2_by_both_ways_in(self) -> None:
         environ = {**os.environ, "EDGE_CONFIG": "/no/such"}
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -243,7 +243,8 @@
         ):  # fmt: skip
             said, town = self.raw(data)
             self.assertEqual(said, b"", data)
-            self.assertIn("connection ended", town.logs["p0"].getvalue())
+            (line,) = [line for line in town.logs["p0"].getvalue().splitlines() if "connection ended" in line]
+            self.assertIn(w.Malformed.remedy, line)
             self.assertIn(why, town.logs["p0"].getvalue())
             self.assertEqual(self.connected, 6)
 
