--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -11,20 +11,17 @@
 
 import h11
 
-from onyxpost.deployment import Unreadable
 from onyxpost.edge import messages as m
+from onyxpost.edge.errors import TurnedAway
 from onyxpost.edge.exchange import READ, again, answered, message
 from onyxpost.edge.listclock import WAIT, Failure, ListClock
 from onyxpost.edge.net import Net
+from onyxpost.errors import Unreadable
 
 DIAL = 1000.0  # ms for a connection: the agent is on this machine
 LIST_MOST = 8 * 1024 * 1024
 
 
-class TurnedAway(Unreadable):
-    """Discovery has more questions than it can answer: asked again at once by all it would stay so."""
-
-
 class Discovery:
     def __init__(
         self, net: Net, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
@@ -82,6 +79,7 @@
                 if not self.down and address == self.address:
                     self.down = True
                     cause = {"cause": f"{type(err).__name__}: {err}"[:200]}
+                    cause |= {"remedy": err.remedy} if isinstance(err, Unreadable) else {}
                     self.log(m.Log("discovery down", cause, logging.WARNING))
                     self.post(m.ListFailed())
                 left = clock.failed(self.net.clock(), _failure(err))
