--- /dev/null
+++ b/onyxpost/edge/messages/heads.py
@@ -0,0 +1,98 @@
+"""Clients' reqs read from their heads, and their answers."""
+
+from __future__ import annotations
+
+import re
+
+import h11
+
+from onyxpost.deployment import Deployment
+from onyxpost.edge.errors import NotTaken
+from onyxpost.edge.messages.values import Answer, Asked, Headers, Kind
+from onyxpost.interface import Effect
+
+BODY_MOST = 64 * 1024
+# Those of one connection only, and those between an app server and its edge node: neither is passed on.
+HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade"}
+KEPT_FROM_CLIENTS = HOP | {b"content-length", b"x-never-ran", b"endpoint-load-metrics"}
+READ_ONCE = (b"x-trace-id", b"plan", b"cookie", b"x-expires-in", b"quota-info", b"idempotency-key")
+KEY = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # a customer: 16 digits, a number below 2^33
+SPAN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")  # a time and its unit
+
+
+def asked(client: int, at: float, request: h11.Request, known: Deployment) -> Asked:
+    """What a req's head says; its body is still to come."""
+    headers: Headers = list(request.headers)
+    named = dict(headers)
+    if len(named) < len(headers) and any(sum(n == name for n, _ in headers) > 1 for name in READ_ONCE):
+        raise NotTaken(400, "a header twice")
+    # One of the two lengths hides what the other shows, a req inside a body perhaps.
+    if b"transfer-encoding" in named and b"content-length" in named:
+        raise NotTaken(400, "two lengths", cut=True)
+    length = int(named.get(b"content-length", 0))
+    if length > BODY_MOST:
+        raise NotTaken(413, "body over 64 KiB")
+    first_part = request.target.split(b"?", 1)[0].split(b"/", 2)[1:2]
+    frontend = next((f for f in known.frontends if first_part == [f.name.encode()]), None)
+    if frontend is None:
+        raise NotTaken(404, "unknown frontend")
+    if request.method != (b"GET" if frontend.effect is Effect.REPLAYABLE else b"POST"):
+        raise NotTaken(405, "not this frontend's method")
+    if request.method == b"GET" and (length or b"transfer-encoding" in named):
+        raise NotTaken(400, "a body where there is none")
+    try:
+        trace = named[b"x-trace-id"].decode("ascii")
+        plan = named[b"plan"].decode("ascii")
+        customer = _cookie(named[b"cookie"], b"key")
+        quota = dict(_pair(part) for part in named[b"quota-info"].split(b","))
+        units, spread, first = (_whole(quota[name]) for name in (b"units", b"spread", b"first"))
+        patience = _span(named[b"x-expires-in"]) if b"x-expires-in" in named else frontend.client_timeout
+    except KeyError as err:
+        raise NotTaken(400, f"missing {str(err)[:40]}") from err
+    except (ValueError, UnicodeDecodeError) as err:
+        raise NotTaken(400, f"malformed header: {str(err)[:60]}") from err
+    if not trace or not KEY.fullmatch(customer) or not patience > 0.0:
+        raise NotTaken(400, "malformed header")
+    if not (0 < units <= (known.units_most or units) and 0 < spread <= known.nodes and first < known.nodes):
+        raise NotTaken(400, "quota-info out of range")
+    if not any(p.name == plan for p in known.plans):
+        raise NotTaken(400, "unknown plan")
+    if frontend.effect is Effect.UNIQUED and not named.get(b"idempotency-key"):
+        raise NotTaken(400, "missing idempotency-key")
+    return Asked(
+        client, at, trace, request.method, request.target, headers, b"", frontend.name,
+        f"{int(customer, 16):x}", plan, units, spread, first, min(patience, frontend.client_timeout),
+    )  # fmt: skip
+
+
+def _cookie(text: bytes, name: bytes) -> bytes:
+    return dict(_pair(part) for part in text.split(b";") if b"=" in part)[name]
+
+
+def _pair(part: bytes) -> tuple[bytes, bytes]:
+    name, _, value = part.partition(b"=")
+    return name.strip(), value.strip()
+
+
+def _whole(text: bytes) -> int:
+    """Python would also read a sign, blanks and underscores."""
+    if not text.isdigit() or len(text) > 9:
+        raise ValueError(f"no number: {text[:20]!r}")
+    return int(text)
+
+
+def _span(text: bytes) -> float:
+    """A number and its unit, in ms."""
+    read = SPAN.fullmatch(text)
+    if read is None:
+        raise ValueError("x-expires-in")
+    return float(read[1]) / (1.0 if read[2] == b"m" else 1000.0)
+
+
+def answer(done: Answer) -> tuple[int, Headers, bytes]:
+    if done.kind is Kind.PASSED and done.page is not None:
+        return 200, [h for h in done.page.headers if h[0] not in KEPT_FROM_CLIENTS], done.page.body
+    if done.kind is Kind.DENIED:
+        wait = done.retry_after / 1000.0
+        return 429, [(b"Retry-After", b"%.3f" % wait)] if wait > 0.0 else [], b""
+    return 502, [], b""
--- /dev/null
+++ b/onyxpost/edge/messages/onward.py
@@ -0,0 +1,29 @@
+"""Reqs to app servers, and how their answers end a dispatch."""
+
+from __future__ import annotations
+
+import h11
+
+from onyxpost.edge.messages.heads import HOP
+from onyxpost.edge.messages.values import Asked
+from onyxpost.interface import Result
+
+# Those of one connection only, and those between a client and its edge node: neither is passed on.
+KEPT_FROM_SERVERS = HOP | {b"content-length", b"expect", b"cookie", b"plan", b"quota-info", b"x-expires-in"}
+
+
+def onward(a: Asked, left: float) -> tuple[h11.Request, bytes]:
+    headers = [h for h in a.headers if h[0] not in KEPT_FROM_SERVERS]
+    headers.append((b"X-Expires-In", b"%du" % max(1, round(left * 1000.0))))
+    if a.body or a.method != b"GET":
+        headers.append((b"Content-Length", b"%d" % len(a.body)))
+    return h11.Request(method=a.method, target=a.target, headers=headers), a.body
+
+
+def result(response: h11.Response) -> Result:
+    """How a dispatch whose answer came whole has ended."""
+    if response.status_code == 200:
+        return Result.OK
+    if response.status_code in (503, 504) and (b"x-never-ran", b"1") in list(response.headers):
+        return Result.FULL
+    return Result.ERROR
