--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	sh deploy/build.sh
 
 test: .ci-venv
-	.ci-venv/bin/python -m unittest discover -s tests -t .
+	.ci-venv/bin/python -m pytest
 
 lint: .ci-venv
 	.ci-venv/bin/ruff check onyxpost tests
@@ -22,4 +22,4 @@
 	touch .ci-venv
 
 clean:
-	rm -rf .venv .ci-venv .mypy_cache .ruff_cache
+	rm -rf .venv .ci-venv .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -8,6 +8,8 @@
 import tempfile
 import unittest
 
+import pytest
+
 from onyxpost.edge import node
 from onyxpost.edge.log import Lines
 from onyxpost.edge.program import Program
@@ -15,6 +17,8 @@
 from onyxpost.lab.scenario import Unusable
 from tests.host import PAGE, AppServer, node_fields
 
+pytestmark = pytest.mark.xdist_group("quiet")  # measures time: nothing else that fills sockets beside it
+
 
 class Loads(unittest.IsolatedAsyncioTestCase):
     def deployment(self) -> node.Deployment:
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -6,6 +6,8 @@
 import unittest
 from typing import Any
 
+import pytest
+
 from onyxpost.deployment import Unreadable
 from onyxpost.edge import node
 from onyxpost.lab import town
@@ -13,6 +15,7 @@
 from onyxpost.plan import file
 from tests.host import node_fields
 
+pytestmark = pytest.mark.xdist_group("quiet")  # many processes: not beside what measures time
 PLANNER = json.loads(pathlib.Path("deploy/example-planner.json").read_text())
 
 
