The decisions are a folder of small files, one concern each; they decide as before

What comes next (routing rules that narrow the pick, rollouts, sessions) touches some of them, and must not mean reading all.

Change: onyxpost/policy/ with gateway (what comes in, who is let in, what is sent), reqs, quota, peers, theta, window, servers (evidence, pick and cold budget). Parts point to each other, are told the time and few settings, and draw no chance of their own. Ring is onyxpost/ring.py: arithmetic, no decision and no tuned value. A customer without a plan has a null plan in place of a check in each method; a server's warmth is worked out once a pick; a keeper's rows are filtered once. The list of reqs that wait is the gateway's, rankings are the servers' and go with their customer.

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -9,7 +9,7 @@
 from msgspec import Meta
 
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, Plan
-from onyxpost.logic import Gateway
+from onyxpost.policy.gateway import Gateway
 
 Fields = dict[str, Any]
 T = TypeVar("T")
--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -1,4 +1,4 @@
-"""What passes between the decisions (`onyxpost.logic`) and whatever hosts them. No decisions here.
+"""What passes between the decisions (`onyxpost.policy`) and whatever hosts them. No decisions here.
 
 Times are milliseconds with fractions. Ids stay at this door: inside, objects point to each other.
 """
--- a/onyxpost/lab/nodes.py
+++ b/onyxpost/lab/nodes.py
@@ -9,7 +9,7 @@
 from onyxpost.interface import Frontend, Result
 from onyxpost.lab.clockwork import Clockwork
 from onyxpost.lab.servers import Server
-from onyxpost.logic import Gateway
+from onyxpost.policy.gateway import Gateway
 
 if TYPE_CHECKING:
     from onyxpost.lab.fleet import World
--- a/onyxpost/lab/runs.py
+++ b/onyxpost/lab/runs.py
@@ -10,12 +10,15 @@
 from concurrent.futures import Future, ProcessPoolExecutor
 from typing import Any
 
-from onyxpost import logic
 from onyxpost.lab.fleet import World, lines
 from onyxpost.lab.results import encode
 from onyxpost.lab.scenario import Scenario, Unusable, packed, unpacked
+from onyxpost.policy import gateway, peers, quota, reqs, servers, theta, window
 
 SEED_MOST = 2**32 - 1
+TRIED: tuple[type, ...] = (
+    gateway.Gateway, peers.Peers, quota.Customer, reqs.Srv, servers.Servers, theta.Theta, window.Window,
+)  # fmt: skip
 
 
 def seeds(text: str) -> list[int]:
@@ -54,9 +57,10 @@
 
 def _constant(name: str) -> tuple[Any, str]:
     owner, _, constant = name.rpartition(".")
-    if not constant.isupper():
+    found = next((kind for kind in TRIED if kind.__name__ == owner), None)
+    if found is None or not constant.isupper():
         raise ValueError(name)
-    return (getattr(logic, owner) if owner else logic), constant
+    return found, constant
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/onyxpost/policy/gateway.py
@@ -0,0 +1,244 @@
+"""What comes in to an edge node, who is let in, and what is sent, sent again, given up on and answered."""
+
+from collections.abc import Iterable
+from zlib import crc32
+
+from onyxpost.interface import Allowed, ColdRule, Frontend, ListRow, Plan, Result, Writer
+from onyxpost.policy import peers, quota, reqs, servers, theta, window
+
+
+class Gateway:
+    BEAT, GOSSIP = 50.0, 50.0  # ms between rounds of housekeeping, between tellings
+    COME_BACK = 0.03  # share of the response target after which one denied for lack of room may come again
+    RESEND_SHARE = 0.2  # further dispatches for each arrival
+    RESEND_MOST = 10.0
+
+    def __init__(
+        self, now: float, *, seed: int, number: int, nodes: int, tick: float,
+        frontends: list[Frontend], plans: list[Plan], cold_rule: ColdRule, allowed: Allowed, must_ask: bool,
+    ) -> None:
+        self.now, self.seed, self.drawn, self.born = now, seed, 0, now
+        self.number, self.nodes, self.tick = number, nodes, tick
+        self.plans, self.allowed, self.must_ask = plans, allowed, must_ask
+        self.frontends = {f.name: f for f in frontends}
+        shortest = min(f.response_target for f in frontends)
+        self.reqs: dict[str, reqs.Req] = {}
+        self.customers: dict[int, quota.Customer] = {}
+        self.waiting: dict[quota.Customer, list[reqs.Req]] = {}  # for the ceiling, in order of arrival
+        self.theta, self.window = theta.Theta(now, self.chance()), window.Window(now, nodes, shortest)
+        self.servers = servers.Servers(now, number, cold_rule, self.window, shortest / 8.0)
+        life = f"{crc32(f'{seed}/life'.encode()) & 0xFFFF:x}"
+        self.peers = peers.Peers(life, plans, self.customer, allowed.peers * allowed.peer_messages_per_s)
+        self.gossip_at, self.sweep_at = now + self.GOSSIP * self.chance(), now
+        self.resends, self.awake = self.RESEND_MOST, False
+        self.writer: Writer
+
+    def chance(self) -> float:
+        self.drawn += 1
+        return crc32(f"{self.seed}/{self.drawn}".encode()) / 2.0**32
+
+    def round(self, now: float, news: Iterable[tuple[object, ...]], writer: Writer) -> None:
+        self.now, self.writer = now, writer
+        if not self.awake:
+            self.awake = True
+            writer.wake(self.BEAT, 0)
+            if self.must_ask:
+                writer.subscribe()
+        for name, *fields in news:
+            getattr(self, str(name))(*fields)
+
+    # What comes in
+
+    def listed(self, complete: bool, rows: list[ListRow]) -> None:
+        self.servers.listed(complete, rows, self.chance)
+
+    def list_failed(self) -> None:
+        self.writer.subscribe()
+
+    def arrived(
+        self, rid: str, leaves: float, frontend: str, key: str, plan: str, units: int, spread: int, first: int
+    ) -> None:
+        self.theta.arrivals += 1
+        self.resends = min(self.RESEND_MOST, self.resends + self.RESEND_SHARE)
+        customer = self.customer(crc32(key.encode()))
+        place = next(i for i, known in enumerate(self.plans) if known.name == plan)
+        customer.meet(self.now, self.plans[place], place, int(first), int(spread))
+        req = reqs.Req(rid, self.now, leaves, self.frontends[frontend], customer, units)
+        queue = self.waiting.get(customer, [])
+        room = not queue and customer.has_room(self.now, units)
+        ahead = units + sum(r.units for r in queue)
+        soon = None if room or self.allowed.safe_share else customer.ceiling_in(self.now, units, ahead)
+        if soon is not None and self.now + soon <= self.latest(req):
+            self.reqs[rid] = req
+            self.waiting[customer] = [*queue, req]
+        elif not room or self.chance() > customer.ease():
+            self.over_quota(req)
+        else:
+            self.let_in(req)
+
+    def client_left(self, rid: str) -> None:
+        if rid in self.reqs and not self.reqs[rid].done:
+            self.close(self.reqs[rid])
+
+    def stream_began(self, rid: str) -> None:
+        if rid in self.reqs:
+            self.reqs[rid].streaming = True
+
+    def dispatch_ended(
+        self, rid: str, number: int, result: Result, waited: float, settled: bool, actual: int
+    ) -> None:
+        req = self.reqs.get(rid)
+        if req is None or number >= len(req.dispatches):
+            return
+        d = req.dispatches[number]
+        d.out, d.may_have_run = False, d.may_have_run and not result.never_ran
+        d.srv.out.pop(d, None)
+        req.customer.open -= 1
+        self.servers.judge(self.now, d, result, waited, self.writer)
+        if result is Result.OK and not req.done:
+            self.theta.served += 1
+            self.theta.answered(req.frontend, self.now - req.began)
+            if actual:
+                req.customer.draw(int(actual) - req.units, 0)
+                self.peers.changed[req.customer] = None
+        over = not req.out()
+        if settled and not req.done:
+            self.close(req)
+        elif req.done and over:
+            self.reqs.pop(rid, None)
+        elif over and not req.streaming and not self.send_again(req):
+            self.give_up(req)
+
+    def granted(self, key: int, lease: int, units: int, ends: float) -> None:
+        customer = self.customers.get(key)
+        if customer is None or ends <= self.now:
+            self.writer.unused(lease, units)
+        else:
+            customer.leases[lease] = [units, ends]
+
+    def withdrawn(self, key: int, lease: int) -> None:
+        customer = self.customers.get(key)
+        left = customer.leases.pop(lease, [0.0])[0] if customer is not None else 0.0
+        self.writer.unused(lease, int(left))
+
+    def told(self, peer: int, body: str) -> None:
+        self.peers.told(self.now, peer, body, self.release)
+
+    def woken(self, token: int) -> None:
+        now, t = self.now, self.theta
+        self.writer.wake(self.BEAT, 0)
+        if now >= self.servers.assess_at:
+            self.servers.assess(now)
+        for customer in list(self.waiting):
+            self.release(customer)
+        if now >= self.window.next_at:
+            out = [d for srv in self.servers.stirred for d in srv.out]
+            half = self.window.full(self.servers.ready, len(out), 0.5)
+            self.window.period(now, out, half or t.theta > 0.0)
+        if now >= t.next_at:
+            before = t.theta
+            t.period(now)
+            if (before > 0.0) != (t.theta > 0.0):
+                self.writer.log(f"shedding {'off' if before else 'on'} theta={t.theta:.2f} r={t.r:.2f}")
+        if now >= self.gossip_at:
+            self.gossip_at = now + self.GOSSIP
+            if now >= self.sweep_at:
+                self.sweep_at, known = now + quota.Customer.FORGET / 4, self.customers.items()
+                self.customers = {k: c for k, c in known if not c.stale(now) or c in self.waiting}
+            self.peers.tell(now, self.writer.tell)
+
+    # Who is let in
+
+    def customer(self, key: int) -> quota.Customer:
+        if (found := self.customers.get(key)) is None:
+            found = quota.Customer(key, self.born, self.number, self.nodes, self.allowed.safe_share)
+            self.customers[key] = found
+        return found
+
+    def latest(self, req: reqs.Req) -> float:
+        """When a req that waits can last be sent on and still be answered in good time."""
+        return min(req.due - 2.0 * self.servers.usual, (req.arrived + req.leaves) / 2.0)
+
+    def over_quota(self, req: reqs.Req) -> None:
+        if self.allowed.safe_share:
+            self.writer.spend(req.customer.key, req.customer.plan.name, req.units, 0)
+        self.writer.deny(req.id, min(self.allowed.longest_retry_after, req.customer.wait(req.units)))
+
+    def release(self, customer: quota.Customer) -> None:
+        """Those whose units are there now; one that could not be in time any more is denied at once."""
+        queue = self.waiting.get(customer, [])
+        while queue:
+            req = queue[0]
+            customer.fill(self.now)
+            late = self.now > self.latest(req)
+            if not req.done and not late and customer.ceiling < req.units:
+                return
+            del queue[0]
+            if req.done:
+                continue
+            del self.reqs[req.id]
+            if late or not customer.has_room(self.now, req.units):
+                self.over_quota(req)
+            else:
+                self.let_in(req)
+        self.waiting.pop(customer, None)
+
+    def let_in(self, req: reqs.Req) -> None:
+        customer, req.began = req.customer, self.now
+        shed = self.theta.theta > 0.0 and self.chance() < self.theta.theta
+        srv = None if shed else self.servers.pick(self.now, req)
+        if srv is None:
+            if not shed:  # not answered in time either: left out of the mean, it would hide an overload
+                self.theta.answered(req.frontend, req.leaves - self.now)
+            self.deny(req)
+            return
+        self.reqs[req.id] = req
+        for lease, part in customer.take(self.now, req.units):
+            if self.allowed.safe_share:
+                self.writer.spend(customer.key, customer.plan.name, part, lease)
+        self.peers.changed[customer] = None
+        self.send(req, srv)
+
+    # What is sent and answered
+
+    def send(self, req: reqs.Req, srv: reqs.Srv) -> None:
+        d = reqs.Dispatch(req, srv, len(req.dispatches), self.now)
+        req.dispatches.append(d)
+        srv.out[d] = None
+        self.servers.stirred[srv] = None
+        req.customer.open += 1
+        srv.cold_part = 1.0
+        until = req.leaves - self.now
+        if req.frontend.late_value <= 0.0:
+            until = min(until, max(self.tick, req.due - self.now - 2.0 * self.tick - 2.0))
+        self.writer.dispatch(req.id, srv.id, until)
+
+    def send_again(self, req: reqs.Req) -> bool:
+        """A further dispatch within the effect rules, the budget and what is still of use; only elsewhere."""
+        fine = req.may_repeat(self.now, self.servers.usual) and self.now < req.leaves - 2.0 * self.tick
+        fine = fine and self.resends >= 1.0 and len(req.dispatches) < self.allowed.dispatches
+        srv = self.servers.pick(self.now, req) if fine else None
+        if srv is not None:
+            self.resends -= 1.0
+            self.send(req, srv)
+        return srv is not None
+
+    def give_up(self, req: reqs.Req) -> None:
+        self.theta.answered(req.frontend, req.leaves - req.arrived)  # it would not have been answered before
+        self.close(req)
+        if req.harmless():
+            self.deny(req)
+        else:
+            self.writer.abort(req.id)
+
+    def deny(self, req: reqs.Req) -> None:
+        soon = min(self.allowed.longest_retry_after, self.COME_BACK * req.frontend.response_target)
+        self.writer.deny(req.id, soon)
+
+    def close(self, req: reqs.Req) -> None:
+        req.done = True
+        for d in req.dispatches:
+            if d.out and self.allowed.cancel and not req.streaming:
+                self.writer.cancel(req.id, d.number)
+        if not req.out():
+            self.reqs.pop(req.id, None)
--- /dev/null
+++ b/onyxpost/policy/servers.py
@@ -0,0 +1,123 @@
+"""The app servers: who is there, what their answers say of them, who is passed over, and whose turn it is."""
+
+from collections.abc import Callable
+from weakref import WeakKeyDictionary
+from zlib import crc32
+
+from onyxpost.interface import ColdRule, Effect, ListRow, Result, Standing, Writer
+from onyxpost.policy import quota, reqs, window
+from onyxpost.ring import Ring
+
+
+class Servers:
+    MARGIN = 1.1  # a server has enough when its expected response is so many times the least
+    FAILED_SHARE = 0.35  # a server failing more of its dispatches is passed over
+    CLOSED = 1000.0  # ms for which a server is passed over at first; doubled each time up to CLOSED_MOST
+    CLOSED_MOST = 8000.0
+    ASSESS = 100.0  # ms between looks at all servers
+
+    def __init__(self, born: float, number: int, rule: ColdRule, room: window.Window, unseen: float) -> None:
+        self.born, self.number, self.rule, self.window = born, number, rule, room
+        self.unseen = self.usual = unseen  # a response time until one has been seen
+        self.gap, self.assess_at = 1000.0, born
+        self.known: dict[str, reqs.Srv] = {}
+        self.ready: list[reqs.Srv] = []
+        self.stirred: dict[reqs.Srv, None] = {}  # with something out, or seen of late: work goes by these
+        self.fleet = Ring(reqs.Srv.SPAN / 12, 12, 3)  # answers, their response times, reqs to be sent
+        self.rankings = WeakKeyDictionary[quota.Customer, list[reqs.Srv]]()  # until the list changes
+
+    def listed(self, complete: bool, rows: list[ListRow], chance: Callable[[], float]) -> None:
+        for srv in self.known.values() if complete else []:
+            srv.standing = Standing.GONE  # but those named
+        for row in rows:
+            srv = self.known[row.server] = self.known.get(row.server) or reqs.Srv(row, self.rule)
+            if row.started != srv.started:  # a new process: what was seen of the old one is void
+                srv.forget()
+                srv.cold_part = chance()
+            srv.take(row)
+        self.known = {s.id: s for s in self.known.values() if s.standing is not Standing.GONE}
+        self.ready = [s for s in self.known.values() if s.standing is Standing.READY]
+        self.rankings.clear()
+
+    def assess(self, now: float) -> None:
+        """Mean response of servers lately used, once in a while: for each req, or all, it would cost dear."""
+        self.assess_at, n = now + self.ASSESS, self.fleet.total(now, 0)
+        self.usual = self.fleet.total(now, 1) / n if n else self.unseen
+        shares = [(s, s.warmth(now)) for s in self.ready]
+        span = min(reqs.Srv.SPAN, max(self.ASSESS, now - self.born))
+        self.gap = span * sum(w for _, w in shares) / max(1.0, self.fleet.total(now, 2))
+        # Bit by bit: where half of the warm ones go the interval halves, and all nodes that had waited for
+        # more than the new one would send at once.
+        for s, warmth in shares:
+            if warmth < 1.0:
+                s.cold_part -= self.ASSESS * warmth / self.gap
+        for s in list(self.stirred):
+            # What is out longer than usual counts by its age: a slow server answers little, and late.
+            ages = [now - d.sent for d in s.out if now - d.sent > self.usual]
+            total = s.seen.total(now, 1)
+            s.mean = (total + sum(ages) + 2.0 * self.usual) / (s.seen.total(now, 0) + len(ages) + 2.0)
+            s.was = total / reqs.Srv.SPAN + 1.0
+            if not s.out and not s.seen.total(now, 0) and not s.seen.total(now, 2):
+                s.mean, s.was = 0.0, 1.0
+                del self.stirred[s]
+
+    def ranking(self, customer: quota.Customer) -> list[reqs.Srv]:
+        if not (found := self.rankings.get(customer)):
+            # In a large set each node ranks for itself: all would send to one server, each seeing little.
+            key = customer.key ^ (crc32(f"{self.number}".encode()) if customer.keeper >= 0 else 0)
+            found = sorted(self.ready, key=lambda s: (s.hash ^ key) * 2654435761 % 2**32)
+            self.rankings[customer] = found
+        return found
+
+    def pick(self, now: float, req: reqs.Req) -> reqs.Srv | None:
+        ranking = self.ranking(req.customer)
+        # What is out past its response target is lost or hung, or will be: it takes up no room.
+        if self.window.full(ranking, sum(1 for s in self.stirred for d in s.out if now < d.req.due)):
+            return None
+        self.fleet.add(now, 0.0, 0.0, 1.0)
+        # A cold server gets its sure share of all that is to be sent, each node's first at any time in its
+        # interval: all nodes' firsts at once would push it over.
+        cold = {s for s in ranking if s.warmth(now) < 1.0}
+        able = [s for s in ranking if s not in cold or s.cold_part <= 0.0]
+        risky = req.risky()
+        if risky is not None and req.frontend.effect is Effect.UNIQUED:
+            able = [s for s in able if s.place(req.frontend.group) == risky.srv.place(req.frontend.group)]
+        able = [s for s in able if all(d.srv is not s for d in req.dispatches)] or ([] if risky else able)
+        # Not failing; one that failed is tried again with one dispatch at a time.
+        fit = [s for s in able if not s.strikes or (now >= s.closed_until and not s.out)] or able
+        # Cold servers whose turn it is go first: unknown, they would get nothing beside those known.
+        first = next((s for s in fit if not s.out and s in cold), None)
+        if first is not None or not fit:
+            return first
+        # Response time of one more req: the mean of late, scaled by what is out over what was (Little).
+        ahead = [(s.mean or self.usual) * (len(s.out) + 1.0) / s.was for s in fit]
+        enough = self.MARGIN * min(ahead)
+        return next(s for s, response in zip(fit, ahead, strict=True) if response <= enough)
+
+    def judge(self, now: float, d: reqs.Dispatch, result: Result, waited: float, writer: Writer) -> None:
+        srv = d.srv
+        if result in (Result.OK, Result.EXPIRED):
+            self.window.answered(now, d, waited)
+            srv.seen.add(now, 1.0, waited)
+            self.fleet.add(now, 1.0, waited)
+            if result is Result.OK and srv.strikes and now >= srv.closed_until:
+                srv.strikes -= 1
+                if not srv.strikes:
+                    srv.forget()
+                    writer.log(f"server {srv.id} open again")
+        elif result not in (Result.CANCELLED, Result.UNUSED, Result.FULL):
+            srv.seen.add(now, 0.0, 0.0, 1.0)
+            failed, good = srv.seen.total(now, 2), srv.seen.total(now, 0)
+            few = failed < 2 or failed <= self.FAILED_SHARE * (failed + good)
+            # One lost answer says little; a connection that does not come up says that nobody is there.
+            if (srv.strikes or result is Result.NO_CONNECTION or not few) and self.shut(now, srv):
+                writer.log(f"server {srv.id} passed over: {result.label} failed={failed:.0f} good={good:.0f}")
+
+    def shut(self, now: float, srv: reqs.Srv) -> bool:
+        """Pass a failing server over for a while; never more than half of the fleet."""
+        shut = sum(1 for s in self.ready if s.strikes and s is not srv)
+        if now < srv.closed_until or 2 * shut >= len(self.ready):
+            return False
+        srv.closed_until = now + min(self.CLOSED_MOST, self.CLOSED * 2.0**srv.strikes)
+        srv.strikes += 1
+        return True
--- a/onyxpost/simhost/decode.py
+++ b/onyxpost/simhost/decode.py
@@ -7,7 +7,7 @@
 from onyxpost import deployment
 from onyxpost.deployment import Fields, Unreadable
 from onyxpost.interface import ListRow, Result, Standing
-from onyxpost.logic import Gateway
+from onyxpost.policy.gateway import Gateway
 
 RESULTS = {
     "delivered": Result.OK,
--- a/onyxpost/simhost/host.py
+++ b/onyxpost/simhost/host.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from onyxpost.deployment import Unreadable
-from onyxpost.logic import Gateway
+from onyxpost.policy.gateway import Gateway
 from onyxpost.simhost import decode
 from onyxpost.simhost.encode import Actions
 
--- a/tests/host.py
+++ b/tests/host.py
@@ -16,7 +16,7 @@
 from onyxpost.edge.program import Program
 from onyxpost.edge.servers import Servers
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, ListRow, Plan, Result, Standing
-from onyxpost.logic import Gateway
+from onyxpost.policy.gateway import Gateway
 
 
 class Host:
--- a/tests/planning.py
+++ b/tests/planning.py
@@ -14,7 +14,7 @@
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, ListRow, Plan, Standing
 from onyxpost.lab.rules import Bucket
 from onyxpost.lab.virtual import EPOCH, Network
-from onyxpost.logic import Gateway
+from onyxpost.policy.gateway import Gateway
 from onyxpost.plan.file import PlannerNode
 from onyxpost.plan.ledger import Terms
 from onyxpost.plan.planner import Planner
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,7 +1,9 @@
 """The emulator, its scenarios and its reports, as a new user meets them."""
 
+import importlib
 import os
 import pathlib
+import pkgutil
 import subprocess
 import sys
 import tempfile
@@ -11,8 +13,9 @@
 
 from click.testing import CliRunner, Result
 
+from onyxpost import policy
 from onyxpost.cli import main
-from onyxpost.lab import results
+from onyxpost.lab import results, runs
 from onyxpost.lab.fleet import World, totals
 from onyxpost.lab.scenario import Scenario, Unusable, load, read, resized, shipped
 
@@ -193,6 +196,17 @@
         other = self.run_lab("compare", self.folder / "a", self.folder / "c")
         self.assertIn("no difference seen", other.output)
 
+    def test_every_constant_of_the_module_can_be_tried(self) -> None:
+        kinds = [
+            (kind.__name__, name) for found in pkgutil.iter_modules(policy.__path__)
+            for kind in vars(importlib.import_module(f"onyxpost.policy.{found.name}")).values()
+            if isinstance(kind, type) and kind.__module__.startswith("onyxpost.policy.")
+            for name, value in vars(kind).items() if name.isupper() and isinstance(value, float)
+        ]  # fmt: skip
+        self.assertIn(("Theta", "PERIOD"), kinds)
+        for owner, name in kinds:
+            self.assertEqual(runs.changes([f"{owner}.{name}=1"]), {f"{owner}.{name}": 1.0})
+
     def test_what_cannot_be_used_is_one_line_and_exit_2(self) -> None:
         old = self.folder / "old.jsonl"
         old.write_bytes(results.encode([{"kind": "total"}]).replace(b'"version":1', b'"version":0'))
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,7 +5,7 @@
 from zlib import crc32
 
 from onyxpost.interface import Effect, Group, Plan, Result, Standing
-from onyxpost.logic import Ring
+from onyxpost.ring import Ring
 from tests.host import Host, kinds
 
 
@@ -148,8 +148,8 @@
         host = Host(servers=4)
         before = [kinds(host.arrive())[0] for _ in range(40)].count("dispatch")
         host = Host(servers=4)
-        lost = list(host.gateway.servers)[:2]
-        while not all(host.gateway.servers[name].strikes for name in lost):
+        lost = list(host.gateway.servers.known)[:2]
+        while not all(host.gateway.servers.known[name].strikes for name in lost):
             ((_, req, server, _),) = host.arrive()
             host.end(req, Result.LOST if server in lost else Result.OK, settled=True)
         after = [kinds(host.arrive())[0] for _ in range(40)].count("dispatch")
@@ -176,14 +176,14 @@
         for i in range(100):
             ((_, req, _, _),) = host.arrive()
             host.end(req, Result.LOST if i % 10 == 9 else Result.OK, settled=True)
-        self.assertEqual([s.strikes for s in host.gateway.servers.values()], [0])
+        self.assertEqual([s.strikes for s in host.gateway.servers.known.values()], [0])
 
     def test_servers_that_are_gone_are_forgotten(self) -> None:
         host = Host(servers=4)
         host.list(host.row(0, Standing.GONE), complete=False)
-        self.assertEqual(len(host.gateway.servers), 3)
+        self.assertEqual(len(host.gateway.servers.known), 3)
         host.list(host.row(1))
-        self.assertEqual(list(host.gateway.servers), ["s1"])
+        self.assertEqual(list(host.gateway.servers.known), ["s1"])
 
     def test_a_large_fleet_is_not_gone_through_in_full_for_each_req(self) -> None:
         host = Host(servers=40)
