--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -10,7 +10,7 @@
 
 from onyxpost.errors import Contradiction, NotOpened, NotParsed, WrongValue
 from onyxpost.interface import Allowed, ColdRule, Effect, Frontend, Group, Plan
-from onyxpost.logic import Gateway
+from onyxpost.policy.gateway import Gateway
 
 Fields = dict[str, Any]
 T = TypeVar("T")
--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -1,4 +1,8 @@
-"""What passes between the decisions (`onyxpost.logic`) and whatever hosts them. No decisions here.
+"""What passes between the decisions (`onyxpost.policy`) and whatever hosts them. No decisions here.
+
+How to call them: make one `policy.gateway.Gateway` for each life of an edge node, then call `round(now, news,
+writer)` when something came in. `news` holds (handler's name, fields...) in order of arrival; the handlers
+are `Gateway`'s methods under "What comes in". Decisions go into `writer`.
 
 Times are milliseconds with fractions. Ids stay at this door: inside, objects point to each other.
 """
