Instances talk over one kept link a pair, with a versioned membership and liveness

Need: parts that act together need to reach each other, bounded, and to tell silent from slow from gone; what planners and forwarders had of it was theirs alone. Change: onyxpost/fleet/ (frames, membership, liveness, redial, links); plan/ and forward/ stand on its frames and its redial, their wire is as before. A node's file may name a fleet.

--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Annotated, Any, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
@@ -12,6 +12,9 @@
 from onyxpost.deployment import Deployment, Given, GivenDeployment, Unreadable, made, typed
 from onyxpost.edge import messages as m
 
+if TYPE_CHECKING:
+    from onyxpost.fleet.membership import Fleet
+
 
 @dataclass(frozen=True, slots=True)
 class Planning:
@@ -36,6 +39,7 @@
     log_level: str
     deployment: Deployment
     planners: Planning | None = None
+    fleet: Fleet | None = None
 
 
 class Limits(Given):
@@ -48,6 +52,14 @@
     share: Annotated[float, Meta(gt=0.0, le=0.5)] = 0.2
 
 
+class FleetSection(Given):
+    """Whom this node talks to, and where it listens for them; `onyxpost.fleet.membership` reads on."""
+
+    version: Annotated[int, Meta(ge=1, lt=2**53)]
+    listen: str
+    members: Annotated[dict[str, str], Meta(min_length=1, max_length=256)]
+
+
 class File(Given):
     """A node's file. What else it says is passed over."""
 
@@ -62,6 +74,7 @@
     peers: list[str] = msgspec.field(default_factory=list)
     discovery_too: str | None = None
     planners: Members | None = None
+    fleet: FleetSection | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -90,7 +103,7 @@
     try:
         return _node(file)
     except Unreadable as err:
-        raise Unreadable(f"{where}: {err}") from err
+        raise type(err)(f"{where}: {err}") from err
 
 
 def _node(file: File) -> Node:
@@ -109,6 +122,13 @@
         members = {name: address(f"planners.members.{name}", text) for name, text in told.members.items()}
         planners = Planning(told.version, members, told.share)
         deployment = replace(deployment, allowed=replace(deployment.allowed, safe_share=told.share))
+    fleet = None
+    if file.fleet is not None:
+        from onyxpost.fleet.membership import made as fleet_of  # loaded only where there is one
+
+        fleet = fleet_of(file.fleet, file.name)
+        if file.fleet.listen in (file.listen, file.peer_listen):
+            raise Unreadable(f"{file.fleet.listen} is taken by clients or peers - at `$.fleet.listen`")
     return Node(
         name=file.name,
         listen=address("listen", file.listen),
@@ -122,4 +142,5 @@
         log_level=file.log_level,
         deployment=deployment,
         planners=planners,
+        fleet=fleet,
     )
--- a/onyxpost/errors.py
+++ b/onyxpost/errors.py
@@ -28,3 +28,13 @@
     def fields(self) -> dict[str, str]:
         """For the log."""
         return {"cause": str(self)[:200], "remedy": self.remedy}
+
+
+def line(err: Exception) -> str:
+    """Any error for the command line, with its remedy where it has one."""
+    return err.line() if isinstance(err, OperatorError) else str(err)
+
+
+def fields(err: Exception) -> dict[str, str]:
+    """Any error for the log."""
+    return err.fields() if isinstance(err, OperatorError) else {"cause": str(err)[:200]}
--- /dev/null
+++ b/onyxpost/fleet/links.py
@@ -0,0 +1,322 @@
+"""One connection a pair of members, kept and bounded. I/O only: what a word means is its user's.
+
+The lower name of a pair dials, so each pair has one dialler. No address of a socket is ever compared: a relay
+may stand between. Nothing waits: a word that has no link, or whose reader is behind, is dropped and counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.net import Listener, Net
+from onyxpost.fleet import talk as t
+from onyxpost.fleet.errors import FleetError, MalformedFrame, OtherName, SilentLink, WrongDialler
+from onyxpost.fleet.frames import frame, read, room
+from onyxpost.fleet.liveness import CUT, Change, Peer, State
+from onyxpost.fleet.membership import Membership, newer
+from onyxpost.fleet.redial import Waits, stay
+from onyxpost.fleet.sparing import Sparing
+
+TICK = 0.1  # s between looks at the peers: a fifth of a beat
+CONNECT = 1.0  # s for a connection, and for the other side's hello on it
+FIGURES = 10.0  # s between lines of figures
+DRAIN = 0.2  # s for what is on its way when leaving
+LIMIT, ACCEPTS = 65536, 128
+WAITING_MOST = 64  # connections that have not said who they are; one more ends the oldest
+
+
+class Link:
+    """A connection whose other side has said who it is."""
+
+    def __init__(self, hello: t.Hello, writer: asyncio.StreamWriter) -> None:
+        self.name, self.life, self.version = hello.name, hello.life, hello.version
+        self.writer, self.why = writer, ""
+
+    def put(self, data: bytes) -> bool:
+        """Never waits: False where this reader is too far behind."""
+        if self.writer.transport.is_closing() or not room(self.writer, len(data)):
+            return False
+        self.writer.write(data)
+        return True
+
+    def cut(self, why: str) -> None:
+        self.why = self.why or why
+        with contextlib.suppress(OSError):
+            self.writer.transport.abort()
+
+
+class Links:
+    """`heard(sender, topic, body)` is called for each message of a topic in `topics`; others are dropped."""
+
+    def __init__(
+        self, net: Net, name: str, life: str, membership: Membership,
+        heard: Callable[[str, str, bytes], None], log: Callable[[m.Log], None],
+    ) -> None:  # fmt: skip
+        self.net, self.name, self.life, self.membership = net, name, life, membership
+        self.heard, self.log = heard, log
+        self.topics: set[str] = set()
+        self.counts: Counter[str] = Counter()  # sent, heard, dropped, unknown topic, refused, pings
+        self.links: dict[str, Link] = {}
+        self.peers: dict[str, Peer] = {}
+        self.last: dict[str, tuple[str, int]] = {}  # life and dial of each member's latest link
+        self.dials: dict[str, asyncio.Task[None]] = {}
+        self.linked: dict[str, float] = {}  # since when; a link that lasts begins the waits anew
+        self.waiting: dict[asyncio.StreamWriter, None] = {}  # oldest first
+        self.sparing = Sparing()
+        self.dialled = 0
+        self.listener: Listener | None = None
+        self.beating: asyncio.Task[None] | None = None
+        self.left = False
+
+    # For its users
+
+    async def listen(self, address: m.Address) -> None:
+        """Raises OSError where the address cannot be had."""
+        self.listener = await self.net.listen(self.serve, address, LIMIT, ACCEPTS)
+
+    def begin(self) -> None:
+        self.beating = asyncio.get_running_loop().create_task(self.beat())
+        self.settle()
+
+    def send(self, to: str, topic: str, body: bytes) -> bool:
+        """False: dropped, as there is no link or its reader is behind. Raises TooLong."""
+        data = frame(t.Word(topic, body))
+        link = self.links.get(to)
+        done = link is not None and link.put(data)
+        self.counts["sent" if done else "dropped"] += 1
+        return done
+
+    def standing(self, name: str) -> State:
+        """GONE for a name that is no member."""
+        peer = self.peers.get(name)
+        return State.GONE if peer is None else peer.state
+
+    def life_of(self, name: str) -> str:
+        """Of the link that is up; empty without one."""
+        link = self.links.get(name)
+        return "" if link is None else link.life
+
+    def move(self, membership: Membership) -> bool:
+        """Another membership, as by SIGHUP: only a later version is followed."""
+        try:
+            if not newer(self.membership, membership):
+                return False
+        except FleetError as err:
+            self.log(m.Log("fleet membership refused", err.fields(), logging.WARNING))
+            return False
+        old, self.membership = self.membership, membership
+        for name in old.members:
+            same = membership.members.get(name) == old.members[name]
+            if name in membership.members and (same or name < self.name):
+                continue  # where one stands that dials this node is its own affair
+            if name in self.dials:
+                self.dials.pop(name).cancel()
+            if name in self.links:
+                self.links[name].cut("another membership")
+        self.settle()
+        self.log(m.Log("fleet moved", {"version": membership.version, "members": len(membership.members)}))
+        return True
+
+    async def leave(self) -> None:
+        """What was sent is on its way before the connections end."""
+        self.left = True
+        for task in self.dials.values():
+            task.cancel()
+        links = list(self.links.values())
+        for link in links:
+            link.why = "this node leaves"
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DRAIN):
+                for link in links:
+                    with contextlib.suppress(OSError):
+                        await link.writer.drain()
+        for link in links:
+            link.writer.close()
+
+    def close(self) -> None:
+        self.left = True
+        if self.listener is not None:
+            self.listener.close()
+        for task in [self.beating, *self.dials.values()]:
+            if task is not None:
+                task.cancel()
+        for link in list(self.links.values()):
+            link.cut("closed")
+        for writer in list(self.waiting):
+            writer.transport.abort()
+
+    def descriptors(self) -> int:
+        return len(self.links) + len(self.waiting)
+
+    def figures(self) -> dict[str, int]:
+        states = Counter(peer.state.value for peer in self.peers.values())
+        return {**{state.value: states[state.value] for state in State}, **self.counts}
+
+    # Who is there
+
+    def settle(self) -> None:
+        """Peers and diallers for the membership in force."""
+        now, members = self.net.clock(), self.membership.members
+        others = [name for name in members if name != self.name] if self.name in members else []
+        for name in [name for name in self.peers if name not in others]:
+            if name in self.dials:
+                self.dials.pop(name).cancel()
+            if name in self.links:
+                self.links.pop(name).cut("another membership")
+            self.tell(self.peers.pop(name).ended(now, "another membership"))
+            self.last.pop(name, None)
+        for name in others:
+            self.peers.setdefault(name, Peer(name, now))
+            if self.name < name and name not in self.dials:
+                # Same waits each time, as every run draws from its seed.
+                waits = Waits(f"{self.name}/{name}")
+                staying = stay(partial(self.dial, name), partial(self.ended, name, waits))
+                self.dials[name] = asyncio.get_running_loop().create_task(staying)
+
+    async def beat(self) -> None:
+        told = self.net.clock()
+        while True:
+            await asyncio.sleep(TICK)
+            now = self.net.clock()
+            for name, peer in list(self.peers.items()):
+                look = peer.look(now)
+                self.tell(look.change)
+                link = self.links.get(name)
+                if link is not None and look.cut:
+                    self.refuse(SilentLink(look.cut, name))
+                    link.cut(look.cut)
+                elif link is not None and look.ping:
+                    self.counts["pings"] += 1
+                    link.put(frame(t.Ping(look.ping)))  # where it has no room it goes unanswered
+            if now - told >= 1000.0 * FIGURES:
+                told = now
+                self.log(m.Log("fleet", dict(self.figures())))
+
+    def tell(self, change: Change | None) -> None:
+        if change is None or self.left:
+            return
+        fields = {
+            "peer": change.peer, "was": change.was.value, "lasted": round(change.lasted),
+            "round trip": round(change.round_trip, 1), "cause": change.why[:200],
+        }  # fmt: skip
+        bad = change.now in (State.SILENT, State.GONE)
+        self.log(m.Log(f"fleet peer {change.now.value}", fields, logging.WARNING if bad else logging.INFO))
+
+    def refuse(self, err: FleetError) -> None:
+        """Anyone can cause such a line: they are counted, and few are written."""
+        kind = type(err).__name__
+        self.counts["refused"] += 1
+        if stands_for := self.sparing.may(self.net.clock(), kind):
+            fields = {"kind": kind, **err.fields(), "times": stands_for}
+            self.log(m.Log("fleet connection ended", fields, logging.WARNING))
+
+    # Connections
+
+    async def dial(self, name: str) -> None:
+        self.dialled += 1
+        number = self.dialled
+        async with asyncio.timeout(CONNECT):
+            reader, writer, _ = await self.net.dial(self.membership.members[name], LIMIT)
+        try:
+            writer.write(frame(self.hello(name, number)))
+            async with asyncio.timeout(CONNECT):
+                hello = await self.greeted(reader)
+            if hello.name != name:
+                raise OtherName(f"{hello.name} stands at its address", name)
+            await self.talk(hello, reader, writer)
+        finally:
+            writer.transport.abort()
+
+    def ended(self, name: str, waits: Waits, cause: Exception | None) -> float:
+        if isinstance(cause, FleetError):
+            self.refuse(cause)
+        now, peer = self.net.clock(), self.peers.get(name)
+        if peer is not None and peer.state is State.GONE and not peer.told:
+            self.tell(peer.ended(now, f"{type(cause).__name__}: {cause}"))
+        if now - self.linked.pop(name, now) >= CUT:
+            waits.good()
+        return waits.wait()
+
+    def hello(self, to: str, dial: int) -> t.Hello:
+        return t.Hello(t.PROTOCOL, self.name, self.life, to, dial, self.membership.version)
+
+    async def greeted(self, reader: asyncio.StreamReader) -> t.Hello:
+        hello = await read(reader, t.decoder)
+        if not isinstance(hello, t.Hello):
+            raise MalformedFrame("no hello")
+        t.judge(hello, self.name, self.membership, self.last.get(hello.name))
+        return hello
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.waiting[writer] = None
+        if len(self.waiting) > WAITING_MOST:
+            next(iter(self.waiting)).transport.abort()
+        try:
+            async with asyncio.timeout(CONNECT):
+                hello = await self.greeted(reader)
+            if self.left:
+                return
+            if hello.name > self.name:
+                raise WrongDialler(f"{self.name} dials, the lower name", hello.name)
+            del self.waiting[writer]
+            writer.write(frame(self.hello(hello.name, hello.dial)))
+            await self.talk(hello, reader, writer)
+        except FleetError as err:
+            self.refuse(err)
+        except (OSError, EOFError):
+            pass  # told by the peer's state
+        finally:
+            self.waiting.pop(writer, None)
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
+
+    async def talk(
+        self, hello: t.Hello, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """One link to its end; a later one of the same member ends it."""
+        name, now = hello.name, self.net.clock()
+        link, self.linked[name] = Link(hello, writer), now
+        old = self.links.get(name)
+        self.links[name], self.last[name] = link, (hello.life, hello.dial)
+        if old is not None:
+            old.cut("replaced by a later connection")
+        peer = self.peers[name]
+        self.tell(peer.connected(now))
+        try:
+            while True:
+                self.take(link, peer, await read(reader, t.decoder))
+        except (OSError, EOFError, FleetError) as err:
+            link.why = link.why or (str(err) or type(err).__name__)
+            raise
+        finally:
+            if self.links.get(name) is link:
+                del self.links[name]
+                self.tell(peer.ended(self.net.clock(), link.why or "ended"))
+
+    def take(self, link: Link, peer: Peer, said: t.Hello | t.Ping | t.Pong | t.Word) -> None:
+        if self.links.get(link.name) is not link:
+            return  # read from a connection that is over
+        now = self.net.clock()
+        peer.heard(now)
+        match said:
+            case t.Ping(number=number):
+                link.put(frame(t.Pong(number)))
+            case t.Pong(number=number):
+                peer.ponged(now, number)
+            case t.Word(topic=topic, body=body):
+                if topic not in self.topics:
+                    self.counts["unknown topic"] += 1
+                    return
+                self.counts["heard"] += 1
+                try:
+                    self.heard(link.name, topic, body)
+                except Exception as err:
+                    self.log(m.fault(f"fleet topic {topic}", err))
+            case t.Hello():
+                raise MalformedFrame("a second hello", link.name)
--- a/onyxpost/forward/client.py
+++ b/onyxpost/forward/client.py
@@ -6,10 +6,13 @@
 import contextlib
 import logging
 from collections.abc import Callable
+from functools import partial
 
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import READ
 from onyxpost.edge.net import Net
+from onyxpost.fleet.frames import room
+from onyxpost.fleet.redial import stay
 from onyxpost.forward.book import Book
 from onyxpost.plan import wire as w
 
@@ -32,10 +35,9 @@
         self.left = False
 
     def begin(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.beating = loop.create_task(self.beat())
+        self.beating = asyncio.get_running_loop().create_task(self.beat())
         for name in self.members:
-            self.tasks[name] = loop.create_task(self.stay_with(name))
+            self.tasks[name] = self.stay_with(name)
 
     def spend(self, spent: m.Spend) -> None:
         self.book.spend(self.net.clock(), *spent)
@@ -53,7 +55,7 @@
             if writer is None:
                 continue
             writer.write(w.frame(message))
-            if writer.transport.get_write_buffer_size() > w.BUFFER_MOST:
+            if not room(writer, 0):
                 cause = {"planner": planner, "cause": "does not read"}
                 self.log(m.Log("planner cut", cause, logging.WARNING))
                 writer.transport.abort()
@@ -72,20 +74,21 @@
                 told = now
                 self.log(m.Log("leases", dict(self.book.figures())))
 
-    async def stay_with(self, name: str) -> None:
+    def stay_with(self, name: str) -> asyncio.Task[None]:
         quiet = False
-        while True:
-            try:
-                await self.with_one(name)
-                quiet = False
-            except (OSError, EOFError, w.Malformed) as err:
-                if not quiet:
-                    cause = {"planner": name, "cause": f"{type(err).__name__}: {err}"[:200]}
-                    self.log(m.Log("planner lost", cause, logging.WARNING))
-                quiet = name not in self.book.epochs
+
+        def ended(err: Exception | None) -> float:
+            nonlocal quiet
+            if err is not None and not quiet:
+                cause = {"planner": name, "cause": f"{type(err).__name__}: {err}"[:200]}
+                self.log(m.Log("planner lost", cause, logging.WARNING))
+            quiet = name not in self.book.epochs
             self.book.lost(name)
             self.writers.pop(name, None)
-            await asyncio.sleep(AGAIN)
+            return AGAIN
+
+        staying = stay(partial(self.with_one, name), ended)
+        return asyncio.get_running_loop().create_task(staying)
 
     async def with_one(self, name: str) -> None:
         async with asyncio.timeout(CONNECT):
@@ -110,7 +113,6 @@
         """Another membership by SIGHUP: only a later version is followed."""
         if version <= self.book.version:
             return False
-        loop = asyncio.get_running_loop()
         for name in [n for n in self.tasks if members.get(n) != self.members.get(n)]:
             self.tasks.pop(name).cancel()
             self.book.lost(name)
@@ -119,7 +121,7 @@
         self.book.change(self.net.clock(), list(members), version)
         for name in members:
             if name not in self.tasks:
-                self.tasks[name] = loop.create_task(self.stay_with(name))
+                self.tasks[name] = self.stay_with(name)
         return True
 
     async def leave(self) -> None:
--- a/onyxpost/lab/virtual.py
+++ b/onyxpost/lab/virtual.py
@@ -96,6 +96,7 @@
         self.paused = False
         self.waiting: list[bytes] = []  # came while reading was paused; b"" is the end
         self.sent = 0
+        self.unheard = 0  # bytes said while nobody could hear
         self.max_size = 0  # as a socket's transport has
 
     # What the program does with it
@@ -135,7 +136,8 @@
         pass
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        """All that the other end has not read: no system holds a part of it here."""
+        return self.wire.flying[self.other] + sum(len(data) for data in self.other.waiting) + self.unheard
 
     def pause_reading(self) -> None:
         self.paused = True
@@ -187,7 +189,9 @@
 
     def carry(self, end: End, data: bytes) -> None:
         if self.broken or self.net.silent(end.name, end.other.name):
+            end.unheard += len(data)
             return
+        end.unheard = 0
         last = self.breaks.get(end)
         if last is not None and end.sent >= last:
             part = data[: max(0, len(data) - (end.sent - last))]
--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -11,6 +11,7 @@
 from onyxpost.deployment import Unreadable
 from onyxpost.edge.log import Lines
 from onyxpost.edge.net import Listener, Net, Sockets
+from onyxpost.fleet.frames import room
 from onyxpost.plan import wire as w
 from onyxpost.plan.council import HEARD, Council, owner
 from onyxpost.plan.file import PlannerNode
@@ -186,6 +187,6 @@
         if writer is None:
             return
         writer.write(w.frame(message))
-        if writer.transport.get_write_buffer_size() > w.BUFFER_MOST:
+        if not room(writer, 0):
             self.log("connection ended", logging.WARNING, forwarder=name, cause="does not read")
             writer.transport.abort()
--- a/onyxpost/plan/wire.py
+++ b/onyxpost/plan/wire.py
@@ -1,32 +1,30 @@
 """What planners and forwarders say to each other: version 1, documented in docs/planners.md.
 
-A frame is four bytes of length, big-endian, then one message in MessagePack. Typed messages are read by
-msgspec: what is malformed, of an unknown kind or too long ends that connection, and touches nothing else.
+Frames as in `onyxpost/fleet/frames.py`, of 64 KiB at most: what is malformed, of an unknown kind or too long
+ends that connection, and touches nothing else.
 """
 
 from __future__ import annotations
 
 import asyncio
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
-T = TypeVar("T")
+from onyxpost.fleet import frames
+from onyxpost.fleet.errors import MalformedFrame as Malformed
+
+__all__ = ["FRAME_MOST", "PROTOCOL", "Malformed"]
 
 PROTOCOL = 1
 FRAME_MOST = 64 * 1024
-BUFFER_MOST = 256 * 1024  # bytes that a slow reader may leave unread before it is cut
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Number = Annotated[int, Meta(ge=0, lt=2**53)]
 Units = Annotated[int, Meta(ge=0, le=1_000_000)]
 
 
-class Malformed(Exception):
-    """What came cannot be a message: its connection ends."""
-
-
 class Message(msgspec.Struct, forbid_unknown_fields=True, tag_field="say"):
     pass
 
@@ -113,32 +111,17 @@
 FromForwarder = Hello | Follow | Ask | Used | Back
 FromPlanner = Welcome | Grant | Refuse | Withdraw
 
-_encoder = msgspec.msgpack.Encoder()
 _forwarders: Any = msgspec.msgpack.Decoder(FromForwarder)
 _planners: Any = msgspec.msgpack.Decoder(FromPlanner)
 
 
 def frame(message: Message) -> bytes:
-    data = _encoder.encode(message)
-    if len(data) > FRAME_MOST:
-        raise ValueError(f"a message of {len(data)} bytes")
-    return len(data).to_bytes(4, "big") + data
-
-
-async def _message(reader: asyncio.StreamReader, decoder: msgspec.msgpack.Decoder[T]) -> T:
-    length = int.from_bytes(await reader.readexactly(4), "big")
-    if not 0 < length <= FRAME_MOST:
-        raise Malformed(f"a frame of {length} bytes")
-    data = await reader.readexactly(length)
-    try:
-        return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
-        raise Malformed(str(err)[:200]) from err
+    return frames.frame(message, FRAME_MOST)
 
 
 async def from_forwarder(reader: asyncio.StreamReader) -> FromForwarder:
-    return await _message(reader, _forwarders)
+    return await frames.read(reader, _forwarders, FRAME_MOST)
 
 
 async def from_planner(reader: asyncio.StreamReader) -> FromPlanner:
-    return await _message(reader, _planners)
+    return await frames.read(reader, _planners, FRAME_MOST)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,302 @@
+"""Links between instances on the virtual clock: cuts, silence, slow readers, strangers, earlier lives."""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.net import Line
+from onyxpost.fleet import talk as t
+from onyxpost.fleet.errors import TooLong
+from onyxpost.fleet.frames import BUFFER_MOST, frame, read
+from onyxpost.fleet.links import WAITING_MOST, Links
+from onyxpost.fleet.lives import begun
+from onyxpost.fleet.liveness import State
+from onyxpost.fleet.membership import Membership
+from onyxpost.lab import virtual
+
+
+def address(name: str) -> m.Address:
+    return f"10.8.0.{name[1:]}", 7100
+
+
+class Fleet:
+    """Members n0, n1, ... on one network; all that they heard and logged."""
+
+    def __init__(self, size: int, seed: int = 1) -> None:
+        self.net = virtual.Network(Random(f"{seed}/net"))
+        self.names = [f"n{i}" for i in range(size)]
+        self.membership = Membership(1, {name: address(name) for name in self.names})
+        self.links: dict[str, Links] = {}
+        self.heard: list[tuple[str, str, str, bytes]] = []
+        self.logs: dict[str, list[m.Log]] = {name: [] for name in self.names}
+        self.lives = 0
+        self.cut: set[tuple[str, str]] = set()  # who is not heard by whom
+        self.net.silent = lambda here, there: (here, there) in self.cut  # type: ignore[method-assign]
+
+    async def start(self, name: str, life: str = "") -> Links:
+        self.lives += 1
+        host, life = self.net.host(name), life or begun(1000.0 + self.lives, "x")
+
+        def hear(sender: str, topic: str, body: bytes) -> None:
+            self.heard.append((name, sender, topic, body))
+
+        links = self.links[name] = Links(host, name, life, self.membership, hear, self.logs[name].append)
+        links.topics.add("t")
+        await links.listen(address(name))
+        links.begin()
+        return links
+
+    def kill(self, name: str) -> None:
+        self.links[name].close()
+        self.net.die(name)
+
+    def part(self, one: str, other: str) -> None:
+        self.cut |= {(one, other), (other, one)}
+
+    def said(self, name: str, event: str) -> list[dict[str, Any]]:
+        return [log.fields for log in self.logs[name] if log.event == event]
+
+    def standings(self, name: str) -> set[State]:
+        return {self.links[name].standing(other) for other in self.names if other != name}
+
+    async def stranger(self, to: str, **more: Any) -> Line:
+        """A connection that says it is n0, from a host of its own."""
+        line = await self.net.host("stranger").dial(address(to), 65536)
+        said = {"protocol": 1, "name": "n0", "life": "9999-s", "to": to, "dial": 1, "version": 1} | more
+        line.writer.write(frame(t.Hello(**said)))
+        return line
+
+
+def play(story: Callable[[Fleet], Coroutine[Any, Any, None]], size: int = 3, begin: int = 0) -> Fleet:
+    async def main() -> Fleet:
+        fleet = Fleet(size)
+        for name in fleet.names[begin:]:
+            await fleet.start(name)
+        await asyncio.sleep(3.0)
+        await story(fleet)
+        for links in fleet.links.values():
+            links.close()
+        await asyncio.sleep(0.1)
+        return fleet
+
+    return virtual.run(main())  # type: ignore[no-any-return]
+
+
+class Words(unittest.TestCase):
+    def test_all_hear_all_in_order_and_one_connection_a_pair_is_kept(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            for name, links in fleet.links.items():
+                for other in fleet.names:
+                    for i in range(3):
+                        self.assertEqual(links.send(other, "t", b"%d" % i), other != name)
+            links = fleet.links["n0"]
+            self.assertTrue(links.send("n1", "else", b""))
+            self.assertRaises(TooLong, links.send, "n1", "t", bytes(t.BODY_MOST + 10_000))
+            self.assertTrue(links.send("n1", "t", bytes(t.BODY_MOST)))
+            await asyncio.sleep(1.0)
+            self.wires = sum(not wire.broken for wires in fleet.net.wires.values() for wire in wires) / 2
+            self.states = fleet.standings("n0")
+
+        fleet = play(story, 5)
+        got = [body for name, sender, _, body in fleet.heard if (name, sender) == ("n1", "n0")]
+        self.assertEqual(got[:3], [b"0", b"1", b"2"])
+        self.assertEqual((len(fleet.heard), self.wires), (5 * 4 * 3 + 1, 10))
+        self.assertEqual((self.states, fleet.links["n1"].counts["unknown topic"]), ({State.LIVE}, 1))
+
+    def test_a_users_fault_is_logged_and_the_link_stays(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.links["n1"].heard = lambda *_: print(1 // 0)
+            fleet.links["n0"].send("n1", "t", b"")
+            await asyncio.sleep(1.0)
+            self.assertEqual(fleet.links["n1"].standing("n0"), State.LIVE)
+
+        fleet = play(story)
+        self.assertEqual(len(fleet.said("n1", "fault")), 1)
+        self.assertEqual(fleet.links["n1"].dialled, 1)
+
+    def test_one_that_does_not_read_costs_a_bound_and_holds_up_nobody(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            line = await fleet.stranger("n2")
+            await read(line.reader, t.decoder)
+            line.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            links = fleet.links["n2"]
+            transport = links.links["n0"].writer.transport
+            most, sent = 0, 0
+            for _ in range(2000):
+                sent += links.send("n0", "t", bytes(1000))
+                links.send("n1", "t", b"")
+                most = max(most, transport.get_write_buffer_size())
+                await asyncio.sleep(0.001)
+            self.assertTrue(BUFFER_MOST - 2000 < most <= BUFFER_MOST, most)
+            self.assertLess(sent, 300)
+            await asyncio.sleep(3.0)
+            self.after = links.standing("n0"), links.standing("n1")
+
+        fleet = play(story, begin=1)
+        self.assertEqual(self.after, (State.GONE, State.LIVE))
+        self.assertEqual(sum(to == "n1" for to, *_ in fleet.heard), 2000)
+        self.assertEqual(fleet.said("n2", "fleet connection ended")[0]["kind"], "SilentLink")
+
+
+class Losses(unittest.TestCase):
+    def test_a_peer_that_dies_is_gone_at_once_and_its_next_life_is_found(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.kill("n1")
+            await asyncio.sleep(0.1)
+            self.assertEqual([fleet.links[n].standing("n1") for n in ("n0", "n2")], [State.GONE] * 2)
+            self.assertFalse(fleet.links["n0"].send("n1", "t", b""))
+            await asyncio.sleep(10.0)
+            later = await fleet.start("n1")
+            await asyncio.sleep(2.5)
+            self.assertEqual(fleet.standings("n1"), {State.LIVE})
+            self.assertEqual(fleet.links["n0"].life_of("n1"), later.life)
+            self.assertEqual(fleet.links["n0"].standing("n2"), State.LIVE)
+
+        fleet = play(story)
+        self.assertEqual(len(fleet.said("n0", "fleet peer gone")), 1)  # not once a redial
+
+    def test_a_pair_that_is_cut_is_silent_then_gone_and_back_soon_after(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.part("n0", "n1")
+            await asyncio.sleep(2.3)
+            self.assertEqual(fleet.links["n0"].standing("n1"), State.SILENT)
+            await asyncio.sleep(1.5)
+            self.assertEqual(fleet.links["n1"].standing("n0"), State.GONE)
+            self.assertEqual(fleet.links["n1"].standing("n2"), State.LIVE)
+            fleet.cut.clear()
+            await asyncio.sleep(3.2)
+            self.assertEqual((fleet.standings("n0"), fleet.standings("n1")), ({State.LIVE}, {State.LIVE}))
+
+        play(story)
+
+    def test_a_path_that_carries_one_way_only_is_no_link(self) -> None:
+        for way in (("n0", "n1"), ("n1", "n0")):
+            async def story(fleet: Fleet, way: tuple[str, str] = way) -> None:
+                fleet.cut.add(way)
+                for _ in range(40):  # words all the time the other way
+                    fleet.links[way[1]].send(way[0], "t", b"")
+                    await asyncio.sleep(0.1)
+                self.assertEqual([fleet.links[a].standing(b) for a, b in (way, way[::-1])], [State.GONE] * 2)
+
+            play(story)
+
+    def test_leaving_says_all_and_is_gone_at_once(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.links["n1"].send("n0", "t", b"last")
+            await fleet.links["n1"].leave()
+            await asyncio.sleep(0.1)
+            self.assertEqual(fleet.links["n0"].standing("n1"), State.GONE)
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.links["n0"].standing("n1"), State.GONE)  # though it still listens
+
+        self.assertIn(("n0", "n1", "t", b"last"), play(story).heard)
+
+
+class Strangers(unittest.TestCase):
+    def test_what_may_not_begin_is_ended_with_a_reason_and_nothing_else_is_touched(self) -> None:
+        hello = t.Hello(1, "n0", "9999-s", "n1", 1, 1)
+        for kind, data in (
+            ("MalformedFrame", b"\xff\xff\xff\xff"), ("MalformedFrame", b"\0\0\0\0"),
+            ("MalformedFrame", b"\0\0\0\x03abc"), ("MalformedFrame", frame(t.Ping(1))),
+            ("MalformedFrame", frame(hello).replace(b"hello", b"jello")),
+            ("OtherVersion", frame(t.Hello(2, "n0", "9999-s", "n1", 1, 1))),
+            ("UnknownSender", frame(t.Hello(1, "n9", "9999-s", "n1", 1, 1))),
+            ("OtherName", frame(t.Hello(1, "n0", "9999-s", "n2", 1, 1))),
+            ("WrongDialler", frame(t.Hello(1, "n2", "9999-s", "n1", 1, 1))),
+            ("EarlierLife", frame(t.Hello(1, "n0", "9-s", "n1", 99, 1))),
+            ("EarlierLife", frame(t.Hello(1, "n0", "1001-x", "n1", 0, 1))),
+        ):  # fmt: skip
+            async def story(fleet: Fleet, data: bytes = data) -> None:
+                line = await fleet.net.host("stranger").dial(address("n1"), 65536)
+                line.writer.write(data)
+                async with asyncio.timeout(0.5):
+                    try:
+                        self.assertEqual(await line.reader.read(-1), b"")
+                    except ConnectionResetError:
+                        pass
+                self.assertTrue(fleet.links["n0"].send("n1", "t", b"still"))
+                await asyncio.sleep(0.1)
+
+            with self.subTest(kind=kind, data=data):
+                fleet = play(story)
+                ended = fleet.said("n1", "fleet connection ended")
+                self.assertEqual([row["kind"] for row in ended], [kind])
+                self.assertTrue(ended[0]["remedy"])
+                self.assertIn(("n1", "n0", "t", b"still"), fleet.heard)
+                self.assertEqual(fleet.said("n1", "fleet peer gone"), [])
+
+    def test_a_later_life_replaces_the_link_and_the_one_before_stays_out(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            first = fleet.links["n0"]
+            line = await fleet.stranger("n1")
+            await read(line.reader, t.decoder)
+            self.assertEqual(fleet.links["n1"].life_of("n0"), "9999-s")
+            line.writer.write(frame(t.Word("t", b"new")))
+            await asyncio.sleep(2.5)
+            self.assertEqual(first.standing("n1"), State.GONE)
+            self.assertEqual(fleet.links["n1"].life_of("n0"), "9999-s")
+
+        fleet = play(story)
+        self.assertIn(("n1", "n0", "t", b"new"), fleet.heard)
+        self.assertEqual(fleet.said("n1", "fleet connection ended")[0]["kind"], "EarlierLife")
+
+    def test_of_two_connections_of_one_life_the_later_dial_is_kept(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            late, early = [await fleet.stranger("n2", dial=dial) for dial in (2, 1)]
+            await asyncio.sleep(0.1)
+            early.writer.write(frame(t.Word("t", b"early")))
+            late.writer.write(frame(t.Word("t", b"late")))
+            await asyncio.sleep(0.1)
+
+        fleet = play(story, begin=1)
+        self.assertEqual([body for *_, body in fleet.heard], [b"late"])
+
+    def test_another_node_at_a_members_address_is_not_taken_for_it(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.links["n0"].move(Membership(2, fleet.membership.members | {"n1": address("n2")}))
+            await asyncio.sleep(1.0)
+            self.assertEqual(fleet.links["n0"].standing("n1"), State.GONE)
+            self.assertEqual(fleet.links["n0"].standing("n2"), State.LIVE)
+
+        self.assertEqual(play(story).said("n2", "fleet connection ended")[0]["kind"], "OtherName")
+
+    def test_those_that_never_say_who_they_are_are_few_and_their_lines_fewer(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            host = fleet.net.host("stranger")
+            self.lines = [await host.dial(address("n1"), 65536) for _ in range(3 * WAITING_MOST)]
+            self.held = len(fleet.links["n1"].waiting)
+            for _ in range(200):
+                line = await host.dial(address("n1"), 65536)
+                line.writer.write(b"\xff" * 64)
+            await asyncio.sleep(1.5)
+            self.assertEqual((len(fleet.links["n1"].waiting), fleet.standings("n1")), (0, {State.LIVE}))
+            for line in self.lines:
+                line.writer.close()
+
+        fleet = play(story)
+        self.assertLessEqual(self.held, WAITING_MOST + 1)
+        self.assertLessEqual(len(fleet.said("n1", "fleet connection ended")), 2)
+        self.assertGreaterEqual(fleet.links["n1"].counts["refused"], 200)
+
+
+class Moves(unittest.TestCase):
+    def test_a_later_membership_takes_one_in_and_another_out(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            later = Membership(2, {name: address(name) for name in ("n0", "n1", "n3")})
+            fleet.logs["n3"] = []
+            fleet.membership = later
+            await fleet.start("n3")
+            for name in ("n0", "n1"):
+                self.assertTrue(fleet.links[name].move(later))
+                self.assertFalse(fleet.links[name].move(later))
+                self.assertFalse(fleet.links[name].move(Membership(1, {})))
+            await asyncio.sleep(3.0)
+            for name in ("n0", "n1"):
+                standing = fleet.links[name].standing
+                self.assertEqual((standing("n2"), standing("n3")), (State.GONE, State.LIVE))
+            self.assertEqual(fleet.links["n0"].dialled, 3)  # n1's link was left as it was
+
+        self.assertEqual(len(play(story).said("n0", "fleet membership refused")), 1)
