A node whose file names a fleet keeps its links; one without loads none of it

Need: links begin, move on SIGHUP and leave with the node that has them, and cost others nothing. Change: program.py starts Links by the file's fleet section, deploy/example-fleet.json, remedies on the command line and in reload refused. Measured: the probe in tests/test_command_line.py makes a whole node by the example and finds nothing of fleet loaded.

--- a/onyxpost/cli.py
+++ b/onyxpost/cli.py
@@ -67,6 +67,7 @@
     """Say whether the FILE of a node or planner, or what EDGE_CONFIG names, can be used (else exit 2)."""
     from onyxpost.deployment import Unreadable, typed
     from onyxpost.edge import node
+    from onyxpost.errors import line
     from onyxpost.plan import file as planner
 
     try:
@@ -79,7 +80,7 @@
             return
         told = node.read({"EDGE_CONFIG": file} if file else os.environ)
     except Unreadable as err:
-        click.echo(f"onyxpost: {err}", err=True)
+        click.echo(f"onyxpost: {line(err)}", err=True)
         sys.exit(2)
     click.echo(f"{told.name}: {len(told.known.rows)} servers, {len(told.deployment.frontends)} frontends")
 
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -19,8 +19,10 @@
 from onyxpost.edge.peers import Peers
 from onyxpost.edge.reducer import Reducer
 from onyxpost.edge.servers import Servers
+from onyxpost.errors import fields
 
 if TYPE_CHECKING:
+    from onyxpost.fleet.links import Links
     from onyxpost.forward.client import Planners
 
 SWEEP = 0.25  # s between looks for idle connections
@@ -64,6 +66,14 @@
             self.planners = Planners(
                 self.net, node.name, planning.members, planning.version, self.post, self.log
             )
+        self.links: Links | None = None
+        self.hears: dict[str, Callable[[str, bytes], None]] = {}  # by topic: (sender, body)
+        if node.fleet is not None:
+            from onyxpost.fleet.links import Links  # loaded only where there is a fleet
+            from onyxpost.fleet.lives import new
+
+            life = new(self.now())
+            self.links = Links(self.net, node.name, life, node.fleet.membership, self.told, self.log)
         self.peers = Peers(self.net, node.peers, deployment.number, self.post)
         self.carry: dict[type, Callable[[Any], None]] = {
             m.Send: self.servers.send,
@@ -100,6 +110,9 @@
         await self.discovery.heard_first(self.node.deployment.drain_grace)
         if self.planners is not None:
             self.planners.begin()
+        if self.links is not None and self.node.fleet is not None:
+            await self.links.listen(self.node.fleet.listen)
+            self.links.begin()
         await self.clients.listen(self.node.listen)
         self.sweep()
         self.net.settled()
@@ -117,6 +130,8 @@
         await self.clients.finish()
         if self.planners is not None:
             await self.planners.leave()
+        if self.links is not None:
+            await self.links.leave()
         self.net.deaf()
         self.shut()
         self.enter(Phase.STOPPED)
@@ -129,20 +144,27 @@
         self.discovery.close()
         if self.planners is not None:
             self.planners.close()
+        if self.links is not None:
+            self.links.close()
 
     def reload(self) -> None:
         """The file is read whole before any of it takes effect; one that cannot be used changes nothing."""
         try:
             told = self.reread()
         except Unreadable as err:
-            self.log(m.Log("reload refused", {"cause": str(err)[:200]}, logging.WARNING))
+            self.log(m.Log("reload refused", dict(fields(err)), logging.WARNING))
             return
         later = ("name", "listen", "peer_listen", "peers", "deployment")
         changed = [name for name in later if getattr(told, name) != getattr(self.node, name)]
+        at = [given.fleet and given.fleet.listen for given in (told, self.node)]
+        if at[0] != at[1]:
+            changed.append("fleet")
         self.node = replace(self.node, discovery=told.discovery, descriptors=told.descriptors)
         self.discovery.move(told.discovery)
         if self.planners is not None and told.planners is not None:
             self.planners.move(told.planners.members, told.planners.version)
+        if self.links is not None and told.fleet is not None:
+            self.links.move(told.fleet.membership)
         self.log(m.Log("reloaded", {"discovery": "{}:{}".format(*told.discovery), "after restart": changed}))
 
     def ready(self) -> bool:
@@ -184,13 +206,25 @@
         if self.planners is not None:
             self.planners.unused(unused)
 
+    # The fleet
+
+    def told(self, sender: str, topic: str, body: bytes) -> None:
+        self.hears[topic](sender, body)
+
+    def hear(self, topic: str, by: Callable[[str, bytes], None]) -> None:
+        """What comes for a topic goes to `by(sender, body)`; only where there are links."""
+        if self.links is not None:
+            self.hears[topic] = by
+            self.links.topics.add(topic)
+
     # Descriptors
 
     def spare(self) -> int:
         return min(SPARE, self.node.descriptors // 4)
 
     def held_open(self) -> int:
-        return len(self.clients.open) + self.servers.links + self.spare()
+        fleet = 0 if self.links is None else self.links.descriptors()
+        return len(self.clients.open) + self.servers.links + self.spare() + fleet
 
     def client_room(self) -> bool:
         """Is there room for one client more? The front opens a third of the descriptors at most, and one that
--- a/onyxpost/edge/serve.py
+++ b/onyxpost/edge/serve.py
@@ -11,13 +11,14 @@
 from onyxpost.edge import node
 from onyxpost.edge.log import Lines
 from onyxpost.edge.program import Program
+from onyxpost.errors import line
 
 
 def serve() -> int:
     try:
         told = node.read(os.environ)
     except Unreadable as err:
-        print(f"onyxpost: {err}", file=sys.stderr)
+        print(f"onyxpost: {line(err)}", file=sys.stderr)
         return 2
     lines = Lines(told.name, told.log_level)
     lines.libraries()
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -11,10 +11,13 @@
 
 HEAVY = (
     "click", "matplotlib", "numpy", "hdrh", "argparse",
-    "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.cli",
+    "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.fleet", "onyxpost.cli",
 )  # fmt: skip
 PROBE = """
 import sys, onyxpost.edge.serve
+from onyxpost.edge import node, program
+told = node.read({{"EDGE_CONFIG": "deploy/example-node.json"}})
+program.Program(told, None, None)
 print(*sorted(name for name in sys.modules if name.split(".")[0] in {0} or name in {0}))
 """
 
@@ -45,6 +48,7 @@
     def test_the_examples_can_be_used(self) -> None:
         for name, said in (
             ("node", "n0: 1 servers, 1 frontends\n"), ("forwarder", "f0: 1 servers, 1 frontends\n"),
+            ("fleet", "n0: 1 servers, 1 frontends\n"),
             ("planner", "p0: planner of version 1, 1 forwarders, 1 plans\n"),
         ):  # fmt: skip
             found = CliRunner().invoke(main, ["check", f"deploy/example-{name}.json"])
