--- a/onyxpost/fleet/frames.py
+++ b/onyxpost/fleet/frames.py
@@ -46,3 +46,11 @@
 def room(writer: asyncio.StreamWriter, more: int) -> bool:
     """May so many bytes more wait for this reader?"""
     return writer.transport.get_write_buffer_size() + more <= BUFFER_MOST
+
+
+def put(writer: asyncio.StreamWriter, data: bytes) -> bool:
+    """Never waits: False, and nothing written, where the connection ends or its reader is too far behind."""
+    if writer.transport.is_closing() or not room(writer, len(data)):
+        return False
+    writer.write(data)
+    return True
--- a/onyxpost/fleet/links.py
+++ b/onyxpost/fleet/links.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import logging
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -17,11 +16,11 @@
 from onyxpost.edge.net import Listener, Net
 from onyxpost.fleet import talk as t
 from onyxpost.fleet.errors import FleetError, MalformedFrame, OtherName, SilentLink, WrongDialler
-from onyxpost.fleet.frames import frame, read, room
-from onyxpost.fleet.liveness import CUT, Change, Peer, State
-from onyxpost.fleet.membership import Membership, newer
+from onyxpost.fleet.frames import frame, put, read
+from onyxpost.fleet.liveness import CUT, Peer, State
+from onyxpost.fleet.membership import Membership, moved, newer
 from onyxpost.fleet.redial import Waits, stay
-from onyxpost.fleet.sparing import Sparing
+from onyxpost.fleet.telling import Telling
 
 TICK = 0.1  # s between looks at the peers: a fifth of a beat
 CONNECT = 1.0  # s for a connection, and for the other side's hello on it
@@ -39,11 +38,7 @@
         self.writer, self.why = writer, ""
 
     def put(self, data: bytes) -> bool:
-        """Never waits: False where this reader is too far behind."""
-        if self.writer.transport.is_closing() or not room(self.writer, len(data)):
-            return False
-        self.writer.write(data)
-        return True
+        return put(self.writer, data)
 
     def cut(self, why: str) -> None:
         self.why = self.why or why
@@ -59,16 +54,15 @@
         heard: Callable[[str, str, bytes], None], log: Callable[[m.Log], None],
     ) -> None:  # fmt: skip
         self.net, self.name, self.life, self.membership = net, name, life, membership
-        self.heard, self.log = heard, log
+        self.heard, self.log, self.telling = heard, log, Telling(log)
         self.topics: set[str] = set()
         self.counts: Counter[str] = Counter()  # sent, heard, dropped, unknown topic, refused, pings
         self.links: dict[str, Link] = {}
-        self.peers: dict[str, Peer] = {}
+        self.peers = {other: Peer(other, net.clock()) for other in membership.members if other != name}
         self.last: dict[str, tuple[str, int]] = {}  # life and dial of each member's latest link
         self.dials: dict[str, asyncio.Task[None]] = {}
         self.linked: dict[str, float] = {}  # since when; a link that lasts begins the waits anew
         self.waiting: dict[asyncio.StreamWriter, None] = {}  # oldest first
-        self.sparing = Sparing()
         self.dialled = 0
         self.listener: Listener | None = None
         self.beating: asyncio.Task[None] | None = None
@@ -108,24 +102,22 @@
             if not newer(self.membership, membership):
                 return False
         except FleetError as err:
-            self.log(m.Log("fleet membership refused", err.fields(), logging.WARNING))
+            self.telling.membership_refused(err)
             return False
         old, self.membership = self.membership, membership
-        for name in old.members:
-            same = membership.members.get(name) == old.members[name]
-            if name in membership.members and (same or name < self.name):
-                continue  # where one stands that dials this node is its own affair
+        for name in moved(old, membership, self.name):
             if name in self.dials:
                 self.dials.pop(name).cancel()
-            if name in self.links:
-                self.links[name].cut("another membership")
+            if (link := self.links.pop(name, None)) is not None:
+                link.cut("another membership")
+                self.telling.change(self.peers[name].ended(self.net.clock(), link.why))
         self.settle()
         self.log(m.Log("fleet moved", {"version": membership.version, "members": len(membership.members)}))
         return True
 
     async def leave(self) -> None:
         """What was sent is on its way before the connections end."""
-        self.left = True
+        self.left = self.telling.quiet = True
         for task in self.dials.values():
             task.cancel()
         links = list(self.links.values())
@@ -140,7 +132,7 @@
             link.writer.close()
 
     def close(self) -> None:
-        self.left = True
+        self.left = self.telling.quiet = True
         if self.listener is not None:
             self.listener.close()
         for task in [self.beating, *self.dials.values()]:
@@ -165,11 +157,7 @@
         now, members = self.net.clock(), self.membership.members
         others = [name for name in members if name != self.name] if self.name in members else []
         for name in [name for name in self.peers if name not in others]:
-            if name in self.dials:
-                self.dials.pop(name).cancel()
-            if name in self.links:
-                self.links.pop(name).cut("another membership")
-            self.tell(self.peers.pop(name).ended(now, "another membership"))
+            self.telling.change(self.peers.pop(name).ended(now, "another membership"))
             self.last.pop(name, None)
         for name in others:
             self.peers.setdefault(name, Peer(name, now))
@@ -186,7 +174,7 @@
             now = self.net.clock()
             for name, peer in list(self.peers.items()):
                 look = peer.look(now)
-                self.tell(look.change)
+                self.telling.change(look.change)
                 link = self.links.get(name)
                 if link is not None and look.cut:
                     self.refuse(SilentLink(look.cut, name))
@@ -198,23 +186,9 @@
                 told = now
                 self.log(m.Log("fleet", dict(self.figures())))
 
-    def tell(self, change: Change | None) -> None:
-        if change is None or self.left:
-            return
-        fields = {
-            "peer": change.peer, "was": change.was.value, "lasted": round(change.lasted),
-            "round trip": round(change.round_trip, 1), "cause": change.why[:200],
-        }  # fmt: skip
-        bad = change.now in (State.SILENT, State.GONE)
-        self.log(m.Log(f"fleet peer {change.now.value}", fields, logging.WARNING if bad else logging.INFO))
-
     def refuse(self, err: FleetError) -> None:
-        """Anyone can cause such a line: they are counted, and few are written."""
-        kind = type(err).__name__
         self.counts["refused"] += 1
-        if stands_for := self.sparing.may(self.net.clock(), kind):
-            fields = {"kind": kind, **err.fields(), "times": stands_for}
-            self.log(m.Log("fleet connection ended", fields, logging.WARNING))
+        self.telling.ended(self.net.clock(), err)
 
     # Connections
 
@@ -238,7 +212,7 @@
             self.refuse(cause)
         now, peer = self.net.clock(), self.peers.get(name)
         if peer is not None and peer.state is State.GONE and not peer.told:
-            self.tell(peer.ended(now, f"{type(cause).__name__}: {cause}"))
+            self.telling.change(peer.ended(now, f"{type(cause).__name__}: {cause}"))
         if now - self.linked.pop(name, now) >= CUT:
             waits.good()
         return waits.wait()
@@ -287,7 +261,7 @@
         if old is not None:
             old.cut("replaced by a later connection")
         peer = self.peers[name]
-        self.tell(peer.connected(now))
+        self.telling.change(peer.connected(now))
         try:
             while True:
                 self.take(link, peer, await read(reader, t.decoder))
@@ -297,7 +271,7 @@
         finally:
             if self.links.get(name) is link:
                 del self.links[name]
-                self.tell(peer.ended(self.net.clock(), link.why or "ended"))
+                self.telling.change(peer.ended(self.net.clock(), link.why or "ended"))
 
     def take(self, link: Link, peer: Peer, said: t.Hello | t.Ping | t.Pong | t.Word) -> None:
         if self.links.get(link.name) is not link:
@@ -317,6 +291,6 @@
                 try:
                     self.heard(link.name, topic, body)
                 except Exception as err:
-                    self.log(m.fault(f"fleet topic {topic}", err))
+                    self.telling.fault(topic, err)
             case t.Hello():
                 raise MalformedFrame("a second hello", link.name)
--- a/onyxpost/fleet/liveness.py
+++ b/onyxpost/fleet/liveness.py
@@ -82,7 +82,7 @@
         late = now - self.looked
         self.looked = now
         if self.state is State.GONE:
-            never = not self.told and now - self.since > CUT
+            never = now - self.since > CUT
             return Look(0, "", self.ended(now, "was never here") if never else None)
         if late > BEAT:
             # This node itself was stopped: what came meanwhile is not read yet, and no silence of the peer's.
--- a/onyxpost/fleet/membership.py
+++ b/onyxpost/fleet/membership.py
@@ -68,6 +68,18 @@
     return new.version > old.version
 
 
+def moved(old: Membership, new: Membership, own: str) -> list[str]:
+    """Whose links must end: those who left, and those whom `own` dials at another address than before.
+
+    Where one stands that dials `own` is that one's own affair. Once `own` is out, all.
+    """
+    out = own not in new.members
+    return [
+        name for name, at in old.members.items()
+        if out or name not in new.members or (own < name and new.members[name] != at)
+    ]  # fmt: skip
+
+
 def _address(text: str, place: str) -> m.Address:
     try:
         return m.address(text)
--- /dev/null
+++ b/onyxpost/fleet/telling.py
@@ -0,0 +1,40 @@
+"""What links tell the log: a line a change of a peer, few lines for what strangers can cause. No I/O."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from onyxpost.edge import messages as m
+from onyxpost.fleet.errors import FleetError
+from onyxpost.fleet.liveness import Change, State
+from onyxpost.fleet.sparing import Sparing
+
+
+class Telling:
+    def __init__(self, log: Callable[[m.Log], None]) -> None:
+        self.log, self.sparing, self.quiet = log, Sparing(), False  # quiet: this node itself leaves
+
+    def change(self, change: Change | None) -> None:
+        if change is None or self.quiet:
+            return
+        fields = {
+            "peer": change.peer, "was": change.was.value, "lasted": round(change.lasted),
+            "round trip": round(change.round_trip, 1), "cause": change.why[:200],
+        }  # fmt: skip
+        bad = change.now in (State.SILENT, State.GONE)
+        self.log(m.Log(f"fleet peer {change.now.value}", fields, logging.WARNING if bad else logging.INFO))
+
+    def ended(self, now: float, err: FleetError) -> None:
+        """Anyone can cause such a line: they are counted, and few are written."""
+        kind = type(err).__name__
+        if stands_for := self.sparing.may(now, kind):
+            fields = {"kind": kind, **err.fields(), "times": stands_for}
+            self.log(m.Log("fleet connection ended", fields, logging.WARNING))
+
+    def membership_refused(self, err: FleetError) -> None:
+        fields = {"kind": type(err).__name__, **err.fields()}
+        self.log(m.Log("fleet membership refused", fields, logging.WARNING))
+
+    def fault(self, topic: str, err: Exception) -> None:
+        self.log(m.fault(f"fleet topic {topic}", err))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,21 +1,24 @@
 """Links between instances on the virtual clock: cuts, silence, slow readers, strangers, earlier lives."""
 
 import asyncio
+import contextlib
 import unittest
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from random import Random
 from typing import Any
 
 from onyxpost.edge import messages as m
-from onyxpost.edge.net import Line
+from onyxpost.edge.net import Line, Sockets
 from onyxpost.fleet import talk as t
-from onyxpost.fleet.errors import TooLong
+from onyxpost.fleet.errors import FleetError, TooLong
 from onyxpost.fleet.frames import BUFFER_MOST, frame, read
 from onyxpost.fleet.links import WAITING_MOST, Links
 from onyxpost.fleet.lives import begun
 from onyxpost.fleet.liveness import State
 from onyxpost.fleet.membership import Membership
 from onyxpost.lab import virtual
+from tests.host import AppServer, Edge, node_fields
 
 
 def address(name: str) -> m.Address:
@@ -213,10 +216,8 @@
                 line = await fleet.net.host("stranger").dial(address("n1"), 65536)
                 line.writer.write(data)
                 async with asyncio.timeout(0.5):
-                    try:
+                    with contextlib.suppress(ConnectionResetError):
                         self.assertEqual(await line.reader.read(-1), b"")
-                    except ConnectionResetError:
-                        pass
                 self.assertTrue(fleet.links["n0"].send("n1", "t", b"still"))
                 await asyncio.sleep(0.1)
 
@@ -263,6 +264,34 @@
 
         self.assertEqual(play(story).said("n2", "fleet connection ended")[0]["kind"], "OtherName")
 
+    def test_one_that_answers_by_another_name_is_left(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            async def imposter(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                hello = await read(reader, t.decoder)
+                writer.write(frame(t.Hello(1, "n2", "9999-s", "n0", hello.dial, 1)))
+                with contextlib.suppress(ConnectionResetError):
+                    await reader.read(-1)
+                writer.close()
+
+            fleet.kill("n1")
+            await fleet.net.host("n1").listen(imposter, address("n1"), 65536, 1)
+            life = fleet.links["n0"].life_of("n2")
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.links["n0"].life_of("n2"), life)
+
+        self.assertEqual(play(story).said("n0", "fleet connection ended")[0]["kind"], "OtherName")
+
+    def test_what_is_read_late_from_a_replaced_connection_is_not_heard(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n1"]
+            old = links.links["n0"]
+            line = await fleet.stranger("n1")
+            await asyncio.sleep(0.1)
+            links.take(old, links.peers["n0"], t.Word("t", b"old"))
+            line.writer.close()
+
+        self.assertEqual(play(story).heard, [])
+
     def test_those_that_never_say_who_they_are_are_few_and_their_lines_fewer(self) -> None:
         async def story(fleet: Fleet) -> None:
             host = fleet.net.host("stranger")
@@ -282,6 +311,46 @@
         self.assertGreaterEqual(fleet.links["n1"].counts["refused"], 200)
 
 
+class Nodes(unittest.IsolatedAsyncioTestCase):
+    async def test_an_edge_node_talks_by_its_file_moves_on_sighup_and_leaves(self) -> None:
+        heard, logs = list[tuple[str, str, bytes]](), list[m.Log]()
+        other = Links(
+            Sockets(), "n1", begun(1.0, "x"), Membership(1, {"n0": ("127.0.0.1", 1), "n1": ("", 0)}),
+            lambda *word: heard.append(word), logs.append,
+        )  # fmt: skip
+        other.topics.add("t")
+        await other.listen(("127.0.0.1", 0))
+        other.begin()
+        assert other.listener is not None
+        at = f"127.0.0.1:{other.listener.sockets[0].getsockname()[1]}"
+        fleet = {"version": 3, "listen": "localhost:0", "members": {"n0": "127.0.0.1:1", "n1": at}}
+        async with asyncio.timeout(10.0), AppServer() as server, Edge(server.address, fleet=fleet) as edge:
+            links, answers = edge.program.links, list[bytes]()
+            assert links is not None
+            edge.program.hear("t", lambda sender, body: answers.append(body))
+            while other.standing("n0") is not State.LIVE or links.standing("n1") is not State.LIVE:
+                await asyncio.sleep(0.01)
+            self.assertTrue(links.send("n1", "t", b"to") and other.send("n0", "t", b"fro"))
+            while not (heard and answers):
+                await asyncio.sleep(0.01)
+            self.assertEqual((heard, answers), ([("n0", "t", b"to")], [b"fro"]))
+            for version, event in ((2, b"fleet membership refused"), (4, b"fleet moved")):
+                edge.file = node_fields(fleet=fleet | {"version": version, "members": {"n0": "127.0.0.1:1"}})
+                edge.program.reload()
+                self.assertIn(event, edge.out.getvalue())
+            while other.standing("n0") is not State.GONE:
+                await asyncio.sleep(0.01)
+            other.close()
+
+
+class Errors(unittest.TestCase):
+    def test_each_has_a_remedy_and_stands_in_the_page_for_those_on_call(self) -> None:
+        page = Path("docs/on-call.md").read_text()
+        for error in FleetError.__subclasses__():
+            self.assertTrue(error.remedy, error)
+            self.assertIn(f"`{error.__name__}`", page)
+
+
 class Moves(unittest.TestCase):
     def test_a_later_membership_takes_one_in_and_another_out(self) -> None:
         async def story(fleet: Fleet) -> None:
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -155,7 +155,8 @@
         self.assertTrue(0.15 <= found[0] <= 0.2 and max(found) <= MOST and found[-1] >= 0.75 * MOST, found)
         waits.good()
         self.assertLessEqual(waits.wait(), 0.2)
-        self.assertNotEqual(found, [Waits("a/c").wait() for _ in range(9)])
+        other = Waits("a/c")
+        self.assertNotEqual(found, [other.wait() for _ in range(9)])
 
     def test_lines_that_strangers_cause_are_few_and_say_for_how_many_they_stand(self) -> None:
         sparing = Sparing(100.0)
