A process that ends with links open logs no fault; who ended a link is told

Need: three processes on loopback logged asyncio's fault for each accepted link at their exit, and bytes where a peer had gone. Change: an accepted link that is cancelled at the end of the loop ends in peace; the cause names the other side.

--- a/onyxpost/fleet/links.py
+++ b/onyxpost/fleet/links.py
@@ -243,8 +243,8 @@
             await self.talk(hello, reader, writer)
         except FleetError as err:
             self.refuse(err)
-        except (OSError, EOFError):
-            pass  # told by the peer's state
+        except (OSError, EOFError, asyncio.CancelledError):
+            pass  # told by the peer's state; asyncio's own callback takes a cancelled one for a fault
         finally:
             self.waiting.pop(writer, None)
             with contextlib.suppress(OSError):
@@ -266,7 +266,8 @@
             while True:
                 self.take(link, peer, await read(reader, t.decoder))
         except (OSError, EOFError, FleetError) as err:
-            link.why = link.why or (str(err) or type(err).__name__)
+            other = "the other side ended it" if isinstance(err, EOFError) else str(err)
+            link.why = link.why or other or type(err).__name__
             raise
         finally:
             if self.links.get(name) is link:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -343,6 +343,28 @@
             other.close()
 
 
+class Ending(unittest.TestCase):
+    def test_a_process_that_ends_with_links_open_logs_no_fault(self) -> None:
+        faults = list[dict[str, Any]]()
+
+        async def main() -> None:
+            asyncio.get_running_loop().set_exception_handler(lambda loop, context: faults.append(context))
+            one, two = ({"n0": ("127.0.0.1", 1), "n1": ("127.0.0.1", 1)} for _ in range(2))
+            self.kept = [
+                Links(Sockets(), name, begun(1.0, "x"), Membership(1, members), print, lambda log: None)
+                for name, members in (("n0", one), ("n1", two))
+            ]
+            await self.kept[1].listen(("127.0.0.1", 0))
+            one["n1"] = self.kept[1].listener.sockets[0].getsockname()  # type: ignore[union-attr]
+            for links in self.kept:
+                links.begin()
+            while self.kept[1].standing("n0") is not State.LIVE:
+                await asyncio.sleep(0.01)
+
+        asyncio.run(main())
+        self.assertEqual(faults, [])
+
+
 class Errors(unittest.TestCase):
     def test_each_has_a_remedy_and_stands_in_the_page_for_those_on_call(self) -> None:
         page = Path("docs/on-call.md").read_text()
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -11,7 +11,7 @@
     UnknownSender,
 )  # fmt: skip
 from onyxpost.fleet.liveness import BEAT, CUT, HEARD, LATE, Look, Peer, State
-from onyxpost.fleet.membership import Membership, decode, newer
+from onyxpost.fleet.membership import Membership, decode, moved, newer
 from onyxpost.fleet.redial import MOST, Waits
 from onyxpost.fleet.sparing import Sparing
 from tests.host import node_fields
@@ -128,6 +128,14 @@
         self.assertRaises(StaleMembership, newer, old, Membership(2, other))
 
 
+    def test_a_moved_membership_ends_the_links_of_those_that_left_or_are_dialled_elsewhere(self) -> None:
+        old = Membership(1, {f"n{i}": ("a", i) for i in range(5)})
+        new = Membership(2, {f"n{i}": ("a", i) for i in (1, 2, 4)} | {"n0": ("b", 9), "n3": ("b", 9)})
+        self.assertEqual(moved(old, new, "n2"), ["n3"])  # n0 dials n2: where it stands is its own affair
+        self.assertEqual(moved(old, Membership(3, {"n1": ("a", 1)}), "n1"), ["n0", "n2", "n3", "n4"])
+        self.assertEqual(moved(old, Membership(3, {"n1": ("a", 1)}), "n2"), list(old.members))
+
+
 class Hellos(unittest.TestCase):
     def judge(self, last: tuple[str, int] | None = None, **more: Any) -> None:
         said = {"protocol": talk.PROTOCOL, "name": "n1", "life": "20-a", "to": "n0", "dial": 5, "version": 1}
