--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Annotated, Any, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
@@ -13,6 +13,9 @@
 from onyxpost.edge import messages as m
 from onyxpost.errors import NoAddress, NoFileNamed, Unreadable, WrongValue
 
+if TYPE_CHECKING:
+    from onyxpost.fleet.membership import Fleet
+
 
 @dataclass(frozen=True, slots=True)
 class Planning:
@@ -37,6 +40,7 @@
     log_level: str
     deployment: Deployment
     planners: Planning | None = None
+    fleet: Fleet | None = None
 
 
 class Limits(Given):
@@ -49,6 +53,14 @@
     share: Annotated[float, Meta(gt=0.0, le=0.5)] = 0.2
 
 
+class FleetSection(Given):
+    """Whom this node talks to, and where it listens for them; `onyxpost.fleet.membership` reads on."""
+
+    version: Annotated[int, Meta(ge=1, lt=2**53)]
+    listen: str
+    members: Annotated[dict[str, str], Meta(min_length=1, max_length=256)]
+
+
 class File(Given):
     """A node's file. What else it says is passed over."""
 
@@ -63,6 +75,7 @@
     peers: list[str] = msgspec.field(default_factory=list)
     discovery_too: str | None = None
     planners: Members | None = None
+    fleet: FleetSection | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -106,6 +119,13 @@
         members = {name: address(f"planners.members.{name}", text) for name, text in told.members.items()}
         planners = Planning(told.version, members, told.share)
         deployment = replace(deployment, allowed=replace(deployment.allowed, safe_share=told.share))
+    fleet = None
+    if file.fleet is not None:
+        from onyxpost.fleet.membership import made as fleet_of  # loaded only where there is one
+
+        fleet = fleet_of(file.fleet, file.name)
+        if file.fleet.listen in (file.listen, file.peer_listen):
+            raise Unreadable(f"{file.fleet.listen} is taken by clients or peers - at `$.fleet.listen`")
     return Node(
         name=file.name,
         listen=address("listen", file.listen),
@@ -119,4 +139,5 @@
         log_level=file.log_level,
         deployment=deployment,
         planners=planners,
+        fleet=fleet,
     )
--- a/onyxpost/plan/errors.py
+++ b/onyxpost/plan/errors.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from onyxpost.errors import OperatorError, Unreadable
+from onyxpost.fleet.errors import MalformedFrame as Malformed
 
-
-class Malformed(OperatorError):
-    """What came cannot be a message: its connection ends."""
-
-    remedy = "see that the other side is a node of these files, of a build with the same protocol"
+__all__ = ["DoesNotRead", "Malformed", "TakesRestart"]
 
 
 class DoesNotRead(OperatorError):
--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -11,6 +11,7 @@
 from onyxpost.edge.log import Lines
 from onyxpost.edge.net import Listener, Net, Sockets
 from onyxpost.errors import Older, Unreadable
+from onyxpost.fleet.frames import room
 from onyxpost.plan import wire as w
 from onyxpost.plan.council import HEARD, Council, owner
 from onyxpost.plan.errors import TakesRestart
@@ -187,7 +188,7 @@
         if writer is None:
             return
         writer.write(w.frame(message))
-        if writer.transport.get_write_buffer_size() > w.BUFFER_MOST:
+        if not room(writer, 0):
             cut = w.DoesNotRead("does not read").fields()
             self.log("connection ended", logging.WARNING, forwarder=name, **cut)
             writer.transport.abort()
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -38,7 +38,7 @@
 
 def kinds(base: type[OperatorError] = OperatorError) -> list[type[OperatorError]]:
     below = [kind for kind in base.__subclasses__() if kind.__module__.startswith("onyxpost.")]
-    return below + [kind for child in below for kind in kinds(child)]
+    return list(dict.fromkeys(below + [kind for child in below for kind in kinds(child)]))
 
 
 def wanting(kind: type[OperatorError], page: str) -> list[str]:
