--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -11,7 +11,7 @@
 
 from onyxpost.deployment import Deployment, Given, GivenDeployment, in_file, made, typed
 from onyxpost.edge import messages as m
-from onyxpost.errors import NoAddress, NoFileNamed, Unreadable, WrongValue
+from onyxpost.errors import Contradiction, NoAddress, NoFileNamed, Unreadable, WrongValue
 
 if TYPE_CHECKING:
     from onyxpost.fleet.membership import Fleet
@@ -125,7 +125,7 @@
 
         fleet = fleet_of(file.fleet, file.name)
         if file.fleet.listen in (file.listen, file.peer_listen):
-            raise Unreadable(f"{file.fleet.listen} is taken by clients or peers - at `$.fleet.listen`")
+            raise Contradiction(f"{file.fleet.listen} is taken by clients or peers - at `$.fleet.listen`")
     return Node(
         name=file.name,
         listen=address("listen", file.listen),
