--- /dev/null
+++ b/onyxpost/lab/rig/manners.py
@@ -0,0 +1,34 @@
+"""What a fault of the script does to which ways. Pure."""
+
+from __future__ import annotations
+
+from onyxpost.lab.rig.relay import Manner
+from onyxpost.lab.rig.script import Fault
+
+
+def ways(fault: Fault, nodes: list[str], servers: list[str]) -> list[tuple[str, str]]:
+    if fault.kind == "groups":
+        return [
+            (a, b) for a in nodes for b in nodes
+            if a != b and not any(a in group and b in group for group in fault.groups)
+        ]  # fmt: skip
+    if fault.kind == "servers-cut":
+        return [way for s in servers for way in ((fault.whom, s), (s, fault.whom))]
+    a, b = fault.whom.split(">")
+    return [(a, b), (b, a)] if fault.kind == "stall" else [(a, b)]
+
+
+def of(fault: Fault) -> Manner:
+    match fault.kind:
+        case "stall":
+            return Manner(stall=True)
+        case "delay":
+            return Manner(delay=5.0 + 295.0 * fault.more)
+        case "lose":
+            return Manner(lose=fault.more)
+        case "duplicate":
+            return Manner(duplicate=fault.more)
+        case "reorder":
+            return Manner(reorder=fault.more)
+        case _:
+            return Manner(cut=True)
