lab rig: what the machine holds up is told apart from what a fault does

Need: on a busy machine a process waited 830 ms for a core, and its late answer read as a broken rule.

--- a/onyxpost/lab/rig/processes.py
+++ b/onyxpost/lab/rig/processes.py
@@ -38,6 +38,14 @@
         process = self.live.get(name)
         return process is not None and process.returncode is None
 
+    def waited(self, name: str) -> float:
+        """ms that its loop's thread has waited for a core in all; 0 where the system does not tell."""
+        try:
+            text = Path(f"/proc/{self.live[name].pid}/schedstat").read_bytes()
+        except OSError:
+            return 0.0
+        return int(text.split()[1]) / 1e6
+
     def stop(self, name: str) -> bool:
         if not self.runs(name) or name in self.stopped | self.leaving:
             return False
