--- a/onyxpost/lab/rig/relay.py
+++ b/onyxpost/lab/rig/relay.py
@@ -99,9 +99,8 @@
     async def udp(self, a: str, b: str) -> Address:
         """Where `a` sends what is for `b`; `b` hears it from where it would answer. Both ways are needed."""
         loop = asyncio.get_running_loop()
-        _, one = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(self, a, b), local_addr=("127.0.0.1", 0)
-        )
+        own = ("127.0.0.1", 0)
+        _, one = await loop.create_datagram_endpoint(lambda: _Datagrams(self, a, b), local_addr=own)
         self.datagrams[a, b] = one
         return cast(Address, one.transport.get_extra_info("sockname"))
 
@@ -187,8 +186,7 @@
                 queue.popleft()
                 size -= len(data)
                 if not data:
-                    if writer.can_write_eof():
-                        writer.write_eof()
+                    writer.write_eof()
                     return
                 self.relays.heard(a, b, data, True)
                 writer.write(data)
