--- /dev/null
+++ b/onyxpost/duties/errors.py
@@ -0,0 +1,51 @@
+"""What can go wrong with duties, as an operator sees it. No I/O."""
+
+from __future__ import annotations
+
+from onyxpost.errors import OperatorError
+
+
+class DutyError(OperatorError):
+    """The base of this package's errors."""
+
+
+class FileRefused(DutyError):
+    """The file's section `duties` cannot be used."""
+
+    remedy = "mend the key that is named in `duties`; `check FILE` says the same"
+
+
+class StepRefused(DutyError):
+    """A change of voters that might let two majorities pass each other by."""
+
+    remedy = "add or remove one voter a step, version one higher, once the step before is in force"
+
+
+class WordMalformed(DutyError):
+    """What came over the wire is no message of this version."""
+
+    remedy = "look whether that node runs the same build; the message was dropped"
+
+
+class DiskRefused(DutyError):
+    """A voter's file is damaged or cannot be written: it must not vote by it."""
+
+    remedy = "move the file away while most other voters run: the voter learns from them; look at the disk"
+
+
+class RecordTooLong(DutyError):
+    """A record over 64 KiB."""
+
+    remedy = "a bug of the duty's own code: keep less in the record"
+
+
+class NotHeld(DutyError):
+    """An act or a write of a node that does not surely hold the duty now."""
+
+    remedy = "nothing: another node holds the duty or will soon"
+
+
+class ActRefused(DutyError):
+    """Whoever takes acts knows a higher fence, or did not answer in time."""
+
+    remedy = "nothing where the fence was lower: another holds the duty; else look at whoever takes acts"
