--- a/onyxpost/duties/errors.py
+++ b/onyxpost/duties/errors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from onyxpost.deployment import Unreadable
 from onyxpost.errors import OperatorError
 
 
@@ -9,13 +10,13 @@
     """The base of this package's errors."""
 
 
-class FileRefused(DutyError):
+class FileRefused(DutyError, Unreadable):
     """The file's section `duties` cannot be used."""
 
     remedy = "mend the key that is named in `duties`; `check FILE` says the same"
 
 
-class StepRefused(DutyError):
+class StepRefused(DutyError, Unreadable):
     """A change of voters that might let two majorities pass each other by."""
 
     remedy = "add or remove one voter a step, version one higher, once the step before is in force"
@@ -27,7 +28,7 @@
     remedy = "look whether that node runs the same build; the message was dropped"
 
 
-class DiskRefused(DutyError):
+class DiskRefused(DutyError, Unreadable):
     """A voter's file is damaged or cannot be written: it must not vote by it."""
 
     remedy = "move the file away while most other voters run: the voter learns from them; look at the disk"
--- a/onyxpost/lab/explore/duties.py
+++ b/onyxpost/lab/explore/duties.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 
 DUTY = "d"
 EPOCH = 1_000_000.0  # ms, by all clocks at the start
+FLYING_MOST = 60
 TERMS = Terms(lease=800.0, drift=0.1, skew=40.0)
 
 
@@ -73,8 +75,9 @@
 
     def fly(self, message: Flying) -> None:
         if message not in self.flying:  # one copy waits; "twice" delivers it and keeps it
-            self.flying.append(message)
-            self.flying.sort()
+            insort(self.flying, message)
+            if len(self.flying) > FLYING_MOST:
+                del self.flying[len(self.wrote) % FLYING_MOST]  # lost
 
     def granted(self, held: e.Held) -> None:
         if held.fence <= self.fence:
