--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -42,6 +42,7 @@
 
 class Net(Protocol):
     def clock(self) -> float: ...
+    def monotonic(self) -> float: ...
     async def listen(self, serve: Serve, address: m.Address, limit: int, accepts: int) -> Listener: ...
     async def dial(self, address: m.Address, limit: int) -> Line: ...
     async def datagrams(self, protocol: asyncio.DatagramProtocol, address: m.Address) -> None: ...
@@ -58,7 +59,11 @@
 
     def clock(self) -> float:
         """Unix ms at the start, carried on by the monotonic clock: that of `startedAtMs` too."""
-        return self.begun + time.monotonic() * 1000.0
+        return self.begun + self.monotonic()
+
+    def monotonic(self) -> float:
+        """ms, by one clock for all processes of this machine."""
+        return time.monotonic() * 1000.0
 
     async def listen(self, serve: Serve, address: m.Address, limit: int, accepts: int) -> asyncio.Server:
         listener = socket.create_server(address, backlog=1024)
--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -13,6 +13,7 @@
 from onyxpost.edge import messages as m
 
 if TYPE_CHECKING:
+    from onyxpost.duties.file import DutiesGiven
     from onyxpost.fleet.membership import Fleet
 
 
@@ -40,6 +41,7 @@
     deployment: Deployment
     planners: Planning | None = None
     fleet: Fleet | None = None
+    duties: DutiesGiven | None = None
 
 
 class Limits(Given):
@@ -75,6 +77,7 @@
     discovery_too: str | None = None
     planners: Members | None = None
     fleet: FleetSection | None = None
+    duties: dict[str, Any] | None = None  # `onyxpost.duties.file` reads on
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -129,6 +132,13 @@
         fleet = fleet_of(file.fleet, file.name)
         if file.fleet.listen in (file.listen, file.peer_listen):
             raise Unreadable(f"{file.fleet.listen} is taken by clients or peers - at `$.fleet.listen`")
+    duties = None
+    if file.duties is not None:
+        if fleet is None:
+            raise Unreadable("duties without a fleet - at `$.fleet`")
+        from onyxpost.duties.file import made as duties_of  # loaded only where there are some
+
+        duties = duties_of(file.duties, tuple(sorted(fleet.membership.members)))
     return Node(
         name=file.name,
         listen=address("listen", file.listen),
@@ -143,4 +153,5 @@
         deployment=deployment,
         planners=planners,
         fleet=fleet,
+        duties=duties,
     )
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -22,6 +22,7 @@
 from onyxpost.errors import fields
 
 if TYPE_CHECKING:
+    from onyxpost.duties.service import Duties
     from onyxpost.fleet.links import Links
     from onyxpost.forward.client import Planners
 
@@ -74,6 +75,12 @@
 
             life = new(self.now())
             self.links = Links(self.net, node.name, life, node.fleet.membership, self.told, self.log)
+        self.duties: Duties | None = None
+        if node.duties is not None and self.links is not None:
+            from onyxpost.duties.service import Duties  # loaded only where there are some
+
+            self.duties = Duties(self.net, node.name, node.duties, self.links, self.log)
+            self.hear("duties", self.duties.heard)
         self.peers = Peers(self.net, node.peers, deployment.number, self.post)
         self.carry: dict[type, Callable[[Any], None]] = {
             m.Send: self.servers.send,
@@ -113,12 +120,16 @@
         if self.links is not None and self.node.fleet is not None:
             await self.links.listen(self.node.fleet.listen)
             self.links.begin()
+        if self.duties is not None:
+            self.duties.begin()
         await self.clients.listen(self.node.listen)
         self.sweep()
         self.net.settled()
         self.enter(Phase.SERVING)
         await told_to_stop.wait()
         self.enter(Phase.LEAVING)
+        if self.duties is not None:
+            self.duties.leave()
         self.clients.leaving = True
         self.clients.close_idle()
         await asyncio.sleep(ACCEPT_ON)
@@ -144,6 +155,8 @@
         self.discovery.close()
         if self.planners is not None:
             self.planners.close()
+        if self.duties is not None:
+            self.duties.close()
         if self.links is not None:
             self.links.close()
 
@@ -151,6 +164,8 @@
         """The file is read whole before any of it takes effect; one that cannot be used changes nothing."""
         try:
             told = self.reread()
+            if self.duties is not None and told.duties is not None:
+                self.duties.judge(told.duties)
         except Unreadable as err:
             self.log(m.Log("reload refused", dict(fields(err)), logging.WARNING))
             return
@@ -165,6 +180,8 @@
             self.planners.move(told.planners.members, told.planners.version)
         if self.links is not None and told.fleet is not None:
             self.links.move(told.fleet.membership)
+        if self.duties is not None and told.duties is not None and self.duties.move(told.duties):
+            changed.append("duties")
         self.log(m.Log("reloaded", {"discovery": "{}:{}".format(*told.discovery), "after restart": changed}))
 
     def ready(self) -> bool:
--- a/onyxpost/edge/serve.py
+++ b/onyxpost/edge/serve.py
@@ -24,6 +24,9 @@
     lines.libraries()
     try:
         return asyncio.run(Program(told, lines, partial(node.read, os.environ, again=True)).run())
+    except Unreadable as err:  # what a voter kept on disk cannot be used
+        print(f"onyxpost: {line(err)}", file=sys.stderr)
+        return 2
     except OSError as err:  # an address that cannot be had
         print(f"onyxpost: {err}", file=sys.stderr)
         return 1
--- a/onyxpost/lab/virtual.py
+++ b/onyxpost/lab/virtual.py
@@ -340,7 +340,10 @@
         self.reread: Callable[[], None] = lambda: None
 
     def clock(self) -> float:
-        return EPOCH + self.net.loop.time() * 1000.0
+        return EPOCH + self.monotonic()
+
+    def monotonic(self) -> float:
+        return self.net.loop.time() * 1000.0
 
     async def listen(self, serve: Serve, address: m.Address, limit: int, accepts: int) -> Listening:
         if address in self.net.listeners:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -11,7 +11,7 @@
 
 HEAVY = (
     "click", "matplotlib", "numpy", "hdrh", "argparse",
-    "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.fleet", "onyxpost.cli",
+    "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.fleet", "onyxpost.duties", "onyxpost.cli",
 )  # fmt: skip
 PROBE = """
 import sys, onyxpost.edge.serve
