--- a/onyxpost/duties/candidate.py
+++ b/onyxpost/duties/candidate.py
@@ -106,7 +106,7 @@
         match word:
             case w.Seen() if self.phase is Phase.LOOKING and word.asked == int(self.since):
                 self.seen[sender] = word
-                self.highest = max(self.highest, word.number)
+                self.told(now, word.number)
                 return self.judge(now)
             case w.Promise() if self.phase is Phase.PREPARING and word.ballot == self.ballot:
                 self.promises[sender] = word
@@ -118,7 +118,7 @@
                     self.tries = 0
                     return Taken(self.ballot, self.record, self.era, self.since, frozenset(self.acked))
             case w.Refuse() if word.ballot == self.ballot and self.phase in (Phase.PREPARING, Phase.TAKING):
-                self.highest = max(self.highest, word.number)
+                self.told(now, word.number)
                 self.refused.add(sender)
                 note: list[Effect] = [] if word.why in ("promised", "busy", "silent") else [
                     Note(self.duty, "refused", f"{sender}: {word.why}", self.ballot.number)]  # fmt: skip
@@ -127,6 +127,11 @@
                 return note
         return []
 
+    def told(self, now: float, number: int) -> None:
+        """A number from beyond what any voter can have promised is a fault's: it must not lead the next."""
+        if number <= now + 4.0 * self.terms.skew:
+            self.highest = max(self.highest, number)
+
     def judge(self, now: float) -> list[Effect]:
         """Is it free with a majority, and this node's turn? If it is not free: when could it be?"""
         voting = sorted(seen.left for seen in self.seen.values() if seen.votes)
--- a/onyxpost/duties/file.py
+++ b/onyxpost/duties/file.py
@@ -23,7 +23,7 @@
     barred: dict[str, list[Name]] = field(default_factory=dict)
     lease_ms: Annotated[float, Meta(ge=200.0, le=60_000.0)] = 2000.0
     drift: Annotated[float, Meta(ge=0.0, le=0.1)] = 0.01
-    skew_ms: Annotated[float, Meta(ge=0.0, le=60_000.0)] = 500.0
+    skew_ms: Annotated[float, Meta(ge=50.0, le=60_000.0)] = 500.0
     disk: str | None = None
     acts: str | None = None
     act_ms: Annotated[float, Meta(ge=50.0, le=600_000.0)] = 1000.0
--- a/tests/duties/test_service.py
+++ b/tests/duties/test_service.py
@@ -12,7 +12,7 @@
 import h11
 
 from onyxpost.deployment import Unreadable
-from onyxpost.duties.acts import HigherFence
+from onyxpost.duties.acts import HigherFence, act
 from onyxpost.duties.errors import ActRefused, DutyError, NotHeld
 from onyxpost.duties.file import made
 from onyxpost.duties.membership import Voters
@@ -184,6 +184,26 @@
 
         play(told)
 
+    def test_what_was_under_way_when_its_holder_was_stopped_is_refused(self) -> None:
+        taker = Taker()
+
+        async def told(town: Town) -> None:
+            await town.net.host("taker").listen(taker.serve, ACTS, 65536, 16)
+            (holder,) = town.holders("d0")
+            stopped = town.nodes[holder]
+            fence = stopped.duties.fence("d0")
+            assert fence is not None
+            town.stall(holder)
+            after = await town.until_held("d0", other_than=holder)
+            await town.nodes[after].duties.act(ACTS, "d0", b"x", 500.0)
+            with self.assertRaises(HigherFence):  # its bytes were written before the stop
+                await act(stopped.net, ACTS, "d0", fence, holder, b"x", lambda: True, 500.0)
+            town.wake(holder)
+            self.assertIsNone(stopped.duties.fence("d0"))
+            self.assertEqual((taker.refused, len(taker.taken)), (1, 1))
+
+        play(told)
+
     def test_a_witness_hears_of_each_holder(self) -> None:
         taker = Taker()
 
--- a/tests/duties/test_stories.py
+++ b/tests/duties/test_stories.py
@@ -199,6 +199,14 @@
         self.assertEqual(refused.word.why, "ahead")
         self.assertIsInstance(voter.take(now, "c0", ask)[0], e.Note)
 
+    def test_a_number_from_nowhere_does_not_lead_the_next_ballot(self) -> None:
+        world = DutyWorld()
+        candidate = world.seats["c0"].candidate
+        candidate.look(EPOCH)
+        told = {"duty": DUTY, "version": 1, "asked": int(EPOCH), "votes": True, "left": 0.0, "holder": ""}
+        candidate.take(EPOCH, "v0", w.Seen(**told, number=2**53 - 1))
+        self.assertLess(candidate.highest, EPOCH + TERMS.lease)
+
     def test_a_record_too_long_and_words_malformed_are_turned_away(self) -> None:
         world = self.settled()
         with self.assertRaises(RecordTooLong):
