--- a/onyxpost/duties/messages.py
+++ b/onyxpost/duties/messages.py
@@ -49,7 +49,7 @@
     asked: Number
     votes: bool  # else: restarted, does not vote yet
     left: Ms  # of a lease or of a promise's grace; 0: free
-    holder: str
+    holder: Annotated[str, Meta(max_length=64)]
     number: Number  # the highest that was promised
 
 
