--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -14,6 +14,7 @@
 from onyxpost.errors import Contradiction, NoAddress, NoFileNamed, Unreadable, WrongValue
 
 if TYPE_CHECKING:
+    from onyxpost.duties.file import DutiesGiven
     from onyxpost.fleet.membership import Fleet
 
 
@@ -41,6 +42,7 @@
     deployment: Deployment
     planners: Planning | None = None
     fleet: Fleet | None = None
+    duties: DutiesGiven | None = None
 
 
 class Limits(Given):
@@ -76,6 +78,7 @@
     discovery_too: str | None = None
     planners: Members | None = None
     fleet: FleetSection | None = None
+    duties: dict[str, Any] | None = None  # `onyxpost.duties.file` reads on
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -126,6 +129,13 @@
         fleet = fleet_of(file.fleet, file.name)
         if file.fleet.listen in (file.listen, file.peer_listen):
             raise Contradiction(f"{file.fleet.listen} is taken by clients or peers - at `$.fleet.listen`")
+    duties = None
+    if file.duties is not None:
+        if fleet is None:
+            raise Contradiction("duties without a fleet - at `$.fleet`")
+        from onyxpost.duties.file import made as duties_of  # loaded only where there are some
+
+        duties = duties_of(file.duties, tuple(sorted(fleet.membership.members)))
     return Node(
         name=file.name,
         listen=address("listen", file.listen),
@@ -140,4 +150,5 @@
         deployment=deployment,
         planners=planners,
         fleet=fleet,
+        duties=duties,
     )
--- a/onyxpost/process.py
+++ b/onyxpost/process.py
@@ -33,6 +33,8 @@
     lines.libraries()
     try:
         return asyncio.run(run(told, lines))
+    except Unreadable as err:  # what it kept on a disk of its own
+        return ended(err, 2)
     except NotListening as err:
         return ended(err, 1)
     except OSError as err:
