--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 run: build
 	EDGE_CONFIG=$(NODE) .venv/bin/python -m onyxpost serve
 
-.ci-venv: requirements.txt requirements-lab.txt requirements-dev.txt
+.ci-venv: requirements.txt requirements-rollout.txt requirements-lab.txt requirements-dev.txt
 	test -d .ci-venv || python3 -m venv .ci-venv
 	.ci-venv/bin/pip -q install -r requirements-dev.txt
 	touch .ci-venv
--- /dev/null
+++ b/onyxpost/lab/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts emulated: what the verdict finds, how soon, and how often wrongly. Figures are emulated."""
