Rollouts: an outage in a part of the fleet holds a stage

Need: a fault of both sides in a quarter of the nodes, 60 % bad there, is 15 % over all: below the 20 % from which a stage was held. Change: reqs in cells where control itself has an outage are counted; past 5 % of those of late the stage is held.

--- a/onyxpost/rollout/verdict/evidence.py
+++ b/onyxpost/rollout/verdict/evidence.py
@@ -75,6 +75,7 @@
     wealth: dict[tuple[str, str, str], betting.Wealth] = field(default_factory=dict)
     sums: dict[tuple[str, str], Sums] = field(default_factory=dict)  # by group's name and measure
     recent: Sums = field(default_factory=Sums)  # of `bad`, of late
+    struck: float = 0.0  # those of its reqs that stood in cells where control had an outage
     harmless: dict[str, betting.Wealth] = field(default_factory=dict)
     edges: dict[str, Edges] = field(default_factory=dict)
     spread: dict[str, Spread] = field(default_factory=dict)
@@ -94,6 +95,7 @@
             edges = self.edges.get(label, Edges())
             ours, theirs = counted(cell.new, edges), counted(cell.control, edges)
             outage = theirs["bad"][1] >= self.terms.outage * max(1, theirs["bad"][0])
+            self.struck += outage * (ours["bad"][0] + theirs["bad"][0])
             for measure, (n, bad) in ours.items():
                 m, control = theirs[measure]
                 if n and (m or self.baseline):
@@ -150,7 +152,7 @@
         self.periods += 1
         for wealth in self.wealth.values():
             wealth.later()
-        old = self.recent
+        old, self.struck = self.recent, FADES * self.struck
         self.recent = Sums(*(FADES * x for x in (old.n, old.bad, old.m, old.control)))
         for label, tally in self._control.items():
             if tally.passed >= 2 * self._took.get(label, EDGE_REQS):
--- a/onyxpost/rollout/verdict/terms.py
+++ b/onyxpost/rollout/verdict/terms.py
@@ -23,6 +23,7 @@
     slow_margin: float = 0.05  # the same of reqs above the upper fifth of control's latencies
     cluster: float = 2.0  # least size of the clusters in which bad reqs are taken to come
     outage: float = 0.2  # share of bad reqs in control from which on a cell says nothing against new
+    struck: float = 0.05  # part of the reqs, of late, in such cells that holds a stage
     limit: float = 0.3  # share of bad reqs in new that halts, where control has less than half of it
     limit_reqs: int = 500  # of each side, of late, for that
     least_reqs: int = 2000  # of each side, over all, before a version may advance
