--- a/onyxpost/lab/rollout/measure.py
+++ b/onyxpost/lab/rollout/measure.py
@@ -77,7 +77,8 @@
 
 def false_halts(kinds: list[str], rollouts: int, cores: int) -> None:
     with ProcessPoolExecutor(cores) as pool:
-        print("\n| traffic | rollouts | false halts | half would advance |\n| --- | --- | --- | --- |", flush=True)
+        print("\n| traffic | rollouts | false halts | half would advance |")
+        print("| --- | --- | --- | --- |", flush=True)
         for kind in kinds:
             ended = list(pool.map(unchanged, [(kind, seed) for seed in range(rollouts)], chunksize=5))
             false = [why for why, _ in ended if why]
--- a/onyxpost/rollout/verdict/evidence.py
+++ b/onyxpost/rollout/verdict/evidence.py
@@ -5,7 +5,6 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from functools import lru_cache
 
 from onyxpost.rollout.counts.book import Gained, Stratum
 from onyxpost.rollout.counts.latency import quantile
@@ -13,23 +12,13 @@
 from onyxpost.rollout.verdict import betting
 from onyxpost.rollout.verdict.measures import Edges, counted
 from onyxpost.rollout.verdict.spread import Spread
+from onyxpost.rollout.verdict.strata import Known, groups, name
 from onyxpost.rollout.verdict.terms import LEVELS, MEASURES, Terms
 
 EDGE_REQS = 200  # of control that set a stratum's latency edges
 FADES = 0.5  # a period: what counts as "of late"
 
 
-@lru_cache(maxsize=1024)
-def groups(stratum: Stratum) -> tuple[tuple[str, str], ...]:
-    """All groups that a stratum is in: level and name."""
-    return (("all", "all"), ("part", f"hall {stratum.hall}"), ("part", f"plan {stratum.plan}"),
-            ("part", f"frontend {stratum.frontend}"), ("stratum", name(stratum)))
-
-
-def name(stratum: Stratum) -> str:
-    return f"{stratum.frontend}/{stratum.plan}/{stratum.hall}"
-
-
 def _add(held: Tally, tally: Tally) -> None:
     """What latency edges need of it."""
     held.passed += tally.passed
@@ -82,6 +71,7 @@
     periods: int = 0
     _gains: dict[tuple[Stratum, str], list[float]] = field(default_factory=dict)  # of the words at hand
     _sums: dict[tuple[Stratum, str], Sums] = field(default_factory=dict)
+    _known: Known = field(default_factory=Known)
     _control: dict[str, Tally] = field(default_factory=dict)
     _took: dict[str, int] = field(default_factory=dict)
 
@@ -91,7 +81,8 @@
 
     def take(self, gained: Iterable[Gained]) -> None:
         for cell in gained:
-            label = name(cell.stratum)
+            told = self._known.of(cell.stratum)
+            label = name(told)
             edges = self.edges.get(label, Edges())
             ours, theirs = counted(cell.new, edges), counted(cell.control, edges)
             outage = theirs["bad"][1] >= self.terms.outage * max(1, theirs["bad"][0])
@@ -99,7 +90,7 @@
             for measure, (n, bad) in ours.items():
                 m, control = theirs[measure]
                 if n and (m or self.baseline):
-                    self._bet(cell.stratum, measure, n, bad, m, control, outage and m > 0)
+                    self._bet(told, measure, n, bad, m, control, outage and m > 0)
             self._learn(label, cell.control)
         for (stratum, measure), gains in self._gains.items():
             for level, group in groups(stratum):
--- a/tests/rollout/test_verdict.py
+++ b/tests/rollout/test_verdict.py
@@ -172,6 +172,14 @@
     assert outcome(evidence) is j.Outcome.HALT
 
 
+def test_groups_are_bounded_by_what_their_weights_are_shared_by_and_the_rest_is_watched() -> None:
+    evidence = fed([cell(90, 1, 90, 1, f"p{i % 11}", f"h{i // 11}") for i in range(600)])
+    for level, (_, most) in LEVELS.items():
+        assert len({group for name, group, _ in evidence.wealth if name == level}) <= most
+    evidence.take([cell(500, 20, 500, 2, hall=f"h{hall}") for hall in range(100, 130)])
+    assert outcome(evidence) is j.Outcome.HALT
+
+
 def test_the_absolute_limit_halts_unless_control_is_near_it_too() -> None:
     assert "over the limit" in j.judge(fed([cell(600, 200, 600, 30)]), ALL, 0.0).why
     assert outcome(fed([cell(600, 200, 600, 130)])) is j.Outcome.HOLD
