--- a/onyxpost/lab/rollout/measure.py
+++ b/onyxpost/lab/rollout/measure.py
@@ -1,6 +1,6 @@
 """The verdict on emulated fleets: `python -m onyxpost.lab.rollout.measure [--help]`.
 
-Prints the tables of docs/rollouts-verdict.md. In full it takes about 35 minutes on two cores.
+Prints the tables of docs/rollouts-verdict.md. In full it takes about an hour on two cores.
 """
 
 from __future__ import annotations
