List clock: a move, an old watch, a silence or a second address no longer hide news

Observed on the virtual clock (stories in tests/test_listclock.py, each seen to fail): - a new agent that turns away after SIGHUP was held good until 6.3 s, its news counts at 4 s; - the old watch's answers and failures, after a move, cancelled the timer and the flag of the new one; - silent, begun anew, then turned away: counted from the second question, so 10.1 s for 6 s; - two addresses, one turning away and one where nobody is: the second's failure stood for both; - an older list after a move left the flag set though it is an answer. Ruled out: two SIGHUPs, a move back, timers after close, heard_first with a silent agent. At fault: listclock.failed (asked_at + SILENT, cleared at the first silence), discovery.watch (one stale_in for all watches, the first address's failure dropped), discovery.told (cleared by any watch, early return). Change: the moment counts from the first question without an answer; each watch keeps its clock and the earliest counts; of two addresses the one that spoke counts; an older list is an empty answer.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -34,7 +34,8 @@
         self.down = self.stale = False
         self.old: asyncio.TimerHandle | None = None  # when news comes to count as told that has not come
         self.asked = asyncio.Event()  # the first answer is here, or there is none to be had
-        self.watches: list[asyncio.Task[None]] = []  # after a move, those that the next one is to replace too
+        # Each with its clock, oldest first: after a move, those that the next one is to replace too.
+        self.watches: dict[asyncio.Task[None], ListClock] = {}
 
     def begin(self) -> None:
         if not self.watches:
@@ -53,16 +54,18 @@
         self.address, self.too = address, None
 
     def watch_at(self, address: m.Address, moved: bool = False) -> None:
-        self.watches.append(asyncio.get_running_loop().create_task(self.watch(address, moved)))
+        clock = ListClock(self.chance, self.failed_call)
+        self.watches[asyncio.get_running_loop().create_task(self.watch(address, clock, moved))] = clock
 
     def close(self) -> None:
-        self.may_be_old_in(None)
+        if self.old is not None:
+            self.old.cancel()
         for watch in self.watches:
             watch.cancel()
 
-    async def watch(self, address: m.Address, moved: bool = False) -> None:
+    async def watch(self, address: m.Address, clock: ListClock, moved: bool = False) -> None:
+        spoke: Failure | None = None  # how the other address came to nothing, just tried, if it may hold news
         swapped = False  # the other address is tried at once, the first one again after a while
-        clock = ListClock(self.chance, self.failed_call)
         while True:
             try:
                 async for listed in self.watch_on_one(address, clock, moved):
@@ -70,11 +73,14 @@
                     self.told(listed, moved)
                     moved = False
             except (OSError, h11.ProtocolError, Unreadable) as err:
+                failure = _failure(err)
                 if self.too is not None and address == self.address:
                     address, self.too = self.too, address
                     self.address, swapped = address, not swapped
                     if swapped:
+                        spoke = failure if failure in (Failure.TURNED_AWAY, Failure.SPOILT) else None
                         continue
+                    failure, spoke = spoke or failure, None
                 self.asked.set()
                 if not self.down and address == self.address:
                     self.down = True
@@ -82,17 +88,24 @@
                     cause |= {"remedy": err.remedy} if isinstance(err, Unreadable) else {}
                     self.log(m.Log("discovery down", cause, logging.WARNING))
                     self.post(m.ListFailed())
-                left = clock.failed(self.net.clock(), _failure(err))
-                stale_in = clock.stale_in(self.net.clock()) if address == self.address else None
-                self.may_be_old_in(stale_in)
+                left = clock.failed(self.net.clock(), failure)
+                if address != self.address:
+                    clock.stale_at = None  # what counts is what the agent holds that is named now
+                self.may_become_old()
                 await asyncio.sleep(left / 1000.0)
 
-    def may_be_old_in(self, left: float | None) -> None:
-        """In `left` ms news counts as told that has not come: then the module is to hear of it."""
+    def stale_in(self) -> float | None:
+        """ms until news counts as told that has not come, by any of the watches."""
+        now = self.net.clock()
+        lefts = [left for clock in self.watches.values() if (left := clock.stale_in(now)) is not None]
+        return min(lefts, default=None)
+
+    def may_become_old(self) -> None:
+        """When news comes to count as told that has not come the module is to hear of it."""
         if self.old is not None:
             self.old.cancel()
             self.old = None
-        if left is not None and not self.stale:
+        if (left := self.stale_in()) is not None and not self.stale:
             self.old = asyncio.get_running_loop().call_later(left / 1000.0, self.may_be_old)
 
     def may_be_old(self) -> None:
@@ -101,23 +114,27 @@
         self.post(m.ListFailed(stale=True))
 
     def told(self, listed: m.Listed, moved: bool) -> None:
-        own = self.watches.index(asyncio.current_task())  # type: ignore[arg-type]
-        for old in self.watches[:own]:
-            old.cancel()
-        del self.watches[:own]
+        own = asyncio.current_task()
+        for older in list(self.watches):
+            if older is own:
+                break
+            older.cancel()
+            del self.watches[older]
         if self.down:
             self.down = False
             self.log(m.Log("discovery up", {"generation": listed.generation}))
         if moved:
             self.log(m.Log("discovery moved", {"generation": listed.generation, "held": self.generation}))
-            if listed.generation < self.generation:
-                return  # older than what is held: what is newer still comes
+            if listed.generation < self.generation:  # older than what is held: what is newer still comes
+                listed = m.Listed(self.generation, False, [], {})
         self.generation, self.too = listed.generation, None
-        self.may_be_old_in(None)
+        was, self.stale = self.stale, self.stale and self.stale_in() == 0.0  # by a later watch's clock
+        self.may_become_old()
         self.asked.set()
-        if listed.rows or listed.complete or self.stale:
-            self.stale = False
+        if listed.rows or listed.complete or was != self.stale:
             self.post(listed)
+            if self.stale:
+                self.post(m.ListFailed(stale=True))  # a list says that all is told
 
     async def watch_on_one(
         self, address: m.Address, clock: ListClock, whole: bool
--- a/onyxpost/edge/listclock.py
+++ b/onyxpost/edge/listclock.py
@@ -38,30 +38,38 @@
         self.chance, self.failed_call = chance, failed_call
         self.spread = SPREAD
         self.asked_at = 0.0
+        self.silent = False  # the last question was not answered in its time
+        self.counts_at: float | None = None  # when what is hidden since the last answer counts as told
         self.stale_at: float | None = None  # from then on news may count as told that has not come
 
     def asked(self, now: float, wait: float, moved: bool = False) -> float:
         """A question that may wait for `wait` ms is put; `moved`: to the agent that a SIGHUP has just named.
         How long to wait for its answer, so that one begun anew can be answered before news counts as told."""
+        counts = MOVED if moved else max(SILENT, wait + PAST_WAIT)
         self.asked_at = now
-        return (MOVED if moved else max(SILENT, wait + PAST_WAIT)) - ANSWER
+        if self.counts_at is None:
+            self.counts_at = now + counts
+        return counts - ANSWER
 
     def answered(self) -> None:
-        self.spread, self.stale_at = SPREAD, None
+        self.spread, self.silent, self.counts_at, self.stale_at = SPREAD, False, None, None
 
     def failed(self, now: float, failure: Failure) -> float:
         """ms until the next question."""
+        before, self.silent = self.silent, failure is Failure.SILENT
         if failure in (Failure.SILENT, Failure.AWAY):
-            self.stale_at = None  # who is down learns nothing, so nothing counts as told meanwhile
+            if before or failure is Failure.AWAY:
+                # Who is down learns nothing, so nothing counts as told meanwhile; one silence is not that.
+                self.counts_at = self.stale_at = None
             return AGAIN
         if failure is Failure.TURNED_AWAY and self.failed_call:
             self.stale_at = self.asked_at + self.failed_call
         elif self.stale_at is None:
-            self.stale_at = self.asked_at + SILENT
+            self.stale_at = self.counts_at
         if failure is Failure.SPOILT:
             return AGAIN
         spread, self.spread = self.spread, min(SPREAD_MOST, 2.0 * self.spread)
-        left = self.stale_at - ANSWER - now  # the next answer is to be here by then
+        left = (self.stale_at or now) - ANSWER - now  # the next answer is to be here by then
         return self.chance.uniform(AGAIN, min(spread, left) if left > AGAIN else SPREAD)
 
     def stale_in(self, now: float) -> float | None:
--- a/tests/test_listclock.py
+++ b/tests/test_listclock.py
@@ -130,6 +130,76 @@
         self.assertGreater(sum(1 for at in asked if 100.0 < at < SILENT), 0)  # strewn, but not past it
         self.assertLess(self.drain_heard(got), float("inf"))
 
+    def test_after_a_move_to_one_that_turns_away_news_counts_after_4_s_whatever_the_old_one_says(self) -> None:
+        async def story(node: Discovery) -> None:
+            await asyncio.sleep(1.0)
+            node.move(("a1", 1))
+            await asyncio.sleep(19.0)
+            new.status = 200
+
+        for status in (200, 500):  # of the old one
+            old, new = Agent(float("inf")), Agent(float("inf"))
+            old.status, new.status = status, 503
+            got = self.heard([old, new], 30_000.0, story)
+            marks = [(at, v) for at, v in got if isinstance(v, m.Listed) or v.stale]
+            stale = [at for at, v in marks if isinstance(v, m.ListFailed)]
+            self.assertAlmostEqual(stale[0], 1000.0 + MOVED, delta=20.0)
+            listed = [at for at, v in marks if isinstance(v, m.Listed) and at > stale[0]]
+            self.assertGreater(listed[0], 20_000.0)  # no word of the old one's takes it back
+            self.assertEqual(len(stale), 1)
+
+    def test_what_an_old_agent_tells_after_a_move_does_not_hide_that_the_list_may_be_old(self) -> None:
+        async def story(node: Discovery) -> None:
+            node.move(("a1", 1))
+
+        old, new = Agent(float("inf")), Agent(float("inf"))
+        new.status, old.news_at = 503, 7000.0
+        got = self.heard([old, new], 7500.0, story)
+        self.assertIsInstance(got[-2][1], m.Listed)
+        self.assertEqual(got[-1][1], m.ListFailed(stale=True))
+
+    def test_a_silence_and_then_a_refusal_count_from_when_the_silence_began(self) -> None:
+        for failures in ([Failure.SILENT], [Failure.TURNED_AWAY, Failure.SILENT], [Failure.SPOILT]):
+            clock, now = ListClock(Random(1)), 1000.0
+            for failure in failures:
+                clock.asked(now, 1.0)
+                now += 1900.0
+                clock.failed(now, failure)
+            clock.asked(now, 1.0)
+            clock.failed(now, Failure.TURNED_AWAY)
+            self.assertEqual(clock.stale_in(now), 1000.0 + SILENT - now)
+            for _ in range(2):  # silent again: discovery is down
+                clock.asked(now, 1.0)
+                clock.failed(now, Failure.SILENT)
+            self.assertIsNone(clock.stale_in(now))
+            clock.asked(now, 1.0)
+            clock.failed(now, Failure.TURNED_AWAY)
+            self.assertEqual(clock.stale_in(now), SILENT)
+
+    def test_of_two_addresses_one_that_turns_away_is_not_hidden_by_one_where_nobody_is(self) -> None:
+        async def story(node: Discovery) -> None:
+            node.too = ("nowhere", 1)
+
+        agent = Agent(float("inf"))
+        agent.status = 503
+        got = self.heard([agent], 20_000.0, story)
+        stale = [at for at, v in got if isinstance(v, m.ListFailed) and v.stale]
+        self.assertEqual(len(stale), 1)
+        self.assertAlmostEqual(stale[0], SILENT, delta=20.0)
+
+    def test_an_older_list_after_a_move_is_an_answer_and_its_rows_are_not_taken(self) -> None:
+        async def story(node: Discovery) -> None:
+            node.generation = 5
+            await asyncio.sleep(7.0)
+            new.status = 200
+            node.move(("a1", 1))
+
+        old, new = Agent(float("inf")), Agent(float("inf"))
+        old.status, new.news_at = 503, 0.0
+        got = self.heard([old, new], 7100.0, story)
+        said = [v for _, v in got]
+        self.assertEqual(said[said.index(m.ListFailed(stale=True)) + 1], m.Listed(5, False, [], {}))
+
     def test_where_lists_are_asked_for_a_call_turned_away_hides_nothing_for_a_time(self) -> None:
         agent = Agent(float("inf"))
         agent.status = 503
