A list nested without end is refused as unusable and no longer ends the watch

Observed: 100,000 brackets in an unknown key raise RecursionError from msgspec; the watch's task ended with it and no list came any more. Ruled out: bad UTF-8, empty text, surrogates, numbers out of range. At fault: deployment.typed, which named DecodeError and UnicodeDecodeError only. Change: RecursionError is NotParsed too.

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -121,7 +121,7 @@
         return msgspec.convert(data, type=kind)
     except msgspec.ValidationError as err:
         raise WrongValue(str(err), where) from err
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
         raise NotParsed(str(err), where) from err
 
 
--- a/tests/test_listclock.py
+++ b/tests/test_listclock.py
@@ -9,6 +9,7 @@
 
 from onyxpost.edge import messages as m
 from onyxpost.edge.discovery import Discovery
+from onyxpost.edge.errors import ListUnusable
 from onyxpost.edge.listclock import AGAIN, ANSWER, MOVED, PAST_WAIT, SILENT, SPREAD_MOST, Failure, ListClock
 from onyxpost.lab.virtual import Network, run
 
@@ -200,6 +201,10 @@
         said = [v for _, v in got]
         self.assertEqual(said[said.index(m.ListFailed(stale=True)) + 1], m.Listed(5, False, [], {}))
 
+    def test_a_list_nested_without_end_is_refused_and_does_not_end_the_watch(self) -> None:
+        deep = b'{"generation":1,"reset":false,"instances":[],"x":' + b"[" * 100_000
+        self.assertRaises(ListUnusable, m.listed, deep)
+
     def test_where_lists_are_asked_for_a_call_turned_away_hides_nothing_for_a_time(self) -> None:
         agent = Agent(float("inf"))
         agent.status = 503
