--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -195,10 +195,24 @@
             self.assertEqual(fleet.links["n0"].standing("n1"), State.GONE)
             await asyncio.sleep(5.0)
             self.assertEqual(fleet.links["n0"].standing("n1"), State.GONE)  # though it still listens
+            self.assertEqual(fleet.links["n2"].standing("n1"), State.GONE)  # nor does it dial
 
         self.assertIn(("n0", "n1", "t", b"last"), play(story).heard)
 
 
+    def test_after_a_link_that_lasted_the_waits_begin_anew(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.kill("n1")
+            await asyncio.sleep(10.0)
+            await fleet.start("n1")
+            await asyncio.sleep(6.0)
+            fleet.net.reset_some("n1")
+            await asyncio.sleep(0.3)
+            self.assertEqual(fleet.links["n0"].standing("n1"), State.LIVE)
+
+        play(story)
+
+
 class Strangers(unittest.TestCase):
     def test_what_may_not_begin_is_ended_with_a_reason_and_nothing_else_is_touched(self) -> None:
         hello = t.Hello(1, "n0", "9999-s", "n1", 1, 1)
@@ -245,6 +259,17 @@
         self.assertIn(("n1", "n0", "t", b"new"), fleet.heard)
         self.assertEqual(fleet.said("n1", "fleet connection ended")[0]["kind"], "EarlierLife")
 
+    def test_a_second_hello_ends_the_link(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            line = await fleet.stranger("n2")
+            await read(line.reader, t.decoder)
+            line.writer.write(frame(t.Hello(1, "n0", "9999-s", "n2", 2, 1)))
+            await asyncio.sleep(0.1)
+            self.assertEqual(fleet.links["n2"].standing("n0"), State.GONE)
+
+        kinds = [row["kind"] for row in play(story, begin=1).said("n2", "fleet connection ended")]
+        self.assertEqual(kinds, ["MalformedFrame"])
+
     def test_of_two_connections_of_one_life_the_later_dial_is_kept(self) -> None:
         async def story(fleet: Fleet) -> None:
             late, early = [await fleet.stranger("n2", dial=dial) for dial in (2, 1)]
@@ -433,6 +458,8 @@
                 self.assertTrue(fleet.links[name].move(later))
                 self.assertFalse(fleet.links[name].move(later))
                 self.assertFalse(fleet.links[name].move(Membership(1, {})))
+            await asyncio.sleep(0.01)
+            self.assertEqual(fleet.links["n2"].links, {})  # ended at once, not when it has been silent
             await asyncio.sleep(3.0)
             for name in ("n0", "n1"):
                 standing = fleet.links[name].standing
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -56,6 +56,15 @@
         host.list(complete=False)
         self.assertEqual(kinds(host.arrive()), ["dispatch"])
 
+    def test_one_that_let_a_req_run_out_has_not_shown_that_it_takes_more(self) -> None:
+        host = Host(servers=1, drain_grace=250.0)
+        for result, wait in ((Result.OK, 60.0), (Result.EXPIRED, 65.0)):
+            ((_, req, _, _),) = host.arrive()
+            host.now += wait
+            host.end(req, result, wait)
+        host.feed("list_stale")
+        self.assertEqual(kinds(host.arrive()), ["deny"])
+
     def test_a_draining_server_gets_nothing_new(self) -> None:
         host = Host(servers=2)
         ((_, _, server, _),) = host.arrive()
--- /dev/null
+++ b/tests/test_watches.py
@@ -0,0 +1,146 @@
+"""How watches begin, follow each other and end, on the virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from random import Random
+from typing import Any
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.discovery import DIAL, Discovery
+from onyxpost.edge.listclock import AGAIN, SPREAD, Failure, ListClock
+from onyxpost.lab.virtual import Network, run
+from tests.test_listclock import Agent
+
+EVER = float("inf")
+
+
+def play(agents: list[Agent], story: Any) -> tuple[Discovery, list[Any], list[m.Log]]:
+    async def main() -> tuple[Discovery, list[Any], list[m.Log]]:
+        net, got, logs = Network(Random(1)), list[Any](), list[m.Log]()
+        for n, agent in enumerate(agents):
+            await net.host(f"agent{n}").listen(agent.serve, (f"a{n}", 1), 65536, 16)
+        node = Discovery(net.host("n"), ("a0", 1), 1, got.append, logs.append, 7)
+        await story(node, net)
+        node.close()
+        return node, got, logs
+
+    return run(main())  # type: ignore[no-any-return]
+
+
+class Watches(unittest.TestCase):
+    def test_the_first_question_asks_for_an_answer_at_once_and_the_next_ones_wait(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            began = net.loop.time()
+            await node.heard_first(250.0)
+            self.assertLess(net.loop.time() - began, 0.1)
+            await asyncio.sleep(2.0)
+
+        agent = Agent(EVER)
+        play([agent], story)
+        self.assertEqual([wait > 1.0 for _, wait in agent.questions], [False, True])
+
+    def test_who_refuses_is_not_waited_for_at_the_start(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            await node.heard_first(250.0)
+            self.assertLess(net.loop.time(), 0.1)
+
+        play([], story)
+
+    def test_a_connection_that_does_not_come_up_is_given_up_on(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            net.cut_off.add("n")
+            node.begin()
+            await asyncio.sleep(DIAL / 1000.0 + 0.1)
+            self.assertTrue(node.down)
+
+        play([Agent(EVER)], story)
+
+    def test_after_a_move_the_old_watch_ends_and_the_new_one_asks_for_the_whole_list_once(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            await asyncio.sleep(0.5)
+            node.too = ("a9", 1)
+            node.move(("a1", 1))
+            self.assertIsNone(node.too)
+            await asyncio.sleep(0.1)
+            self.asked = len(old.questions)
+            await asyncio.sleep(9.9)
+            net.reset_some("n")  # begun anew it is no move any more
+            await asyncio.sleep(1.0)
+            self.assertEqual(len(node.watches), 1)
+
+        old, new = Agent(EVER), Agent(EVER)
+        _, _, logs = play([old, new], story)
+        self.assertEqual(len(old.questions), self.asked)
+        self.assertEqual([wait for _, wait in new.questions].count(0.0), 1)
+        self.assertEqual([log.event for log in logs].count("discovery moved"), 1)
+
+    def test_what_the_old_agent_turns_away_after_a_move_is_not_feared(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            await asyncio.sleep(0.5)
+            node.move(("nowhere", 1))
+            await asyncio.sleep(15.0)
+
+        old = Agent(EVER)
+        old.status = 503
+        self.assertNotIn(m.ListFailed(stale=True), play([old], story)[1])
+
+    def test_the_other_address_is_forgotten_once_one_has_answered(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.too = ("a1", 1)
+            node.begin()
+            await asyncio.sleep(1.0)
+            net.reset_some("n")
+            await asyncio.sleep(1.0)
+            self.assertIsNone(node.too)
+
+        agents = [Agent(EVER), Agent(EVER)]
+        play(agents, story)
+        self.assertEqual(agents[1].questions, [])
+
+    def test_a_watch_whose_connection_ends_goes_on_within_the_200_ms_that_keep_it(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            for _ in range(5):
+                await asyncio.sleep(1.0)
+                self.ended.append(net.loop.time() * 1000.0)
+                net.reset_some("n")
+            await asyncio.sleep(1.0)
+
+        self.ended = list[float]()
+        agent = Agent(EVER)
+        play([agent], story)
+        for at in self.ended:
+            self.assertTrue([q for q, _ in agent.questions if at < q < at + 200.0])
+
+    def test_nothing_is_told_after_the_end(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            await asyncio.sleep(4.0)
+            node.close()
+            await asyncio.sleep(9.0)
+
+        agent = Agent(EVER)
+        agent.status = 503
+        self.assertNotIn(m.ListFailed(stale=True), play([agent], story)[1])
+
+    def test_a_spoilt_answer_is_asked_for_again_at_once_and_an_answer_begins_the_pauses_anew(self) -> None:
+        clock = ListClock(Random(1), 60_000.0)
+        clock.asked(0.0, 1.0)
+        self.assertEqual(clock.failed(1.0, Failure.SPOILT), AGAIN)
+        for _ in range(4):
+            clock.failed(1.0, Failure.TURNED_AWAY)
+        clock.answered()
+        for _ in range(40):
+            clock.asked(0.0, 1.0)
+            self.assertLessEqual(clock.failed(1.0, Failure.TURNED_AWAY), SPREAD)
+            clock.answered()
+
+
+if __name__ == "__main__":
+    unittest.main()
