--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -468,6 +468,14 @@
 
         self.assertEqual(len(play(story).said("n0", "fleet membership refused")), 1)
 
+    def test_one_that_takes_another_out_ends_the_link_that_the_other_dialled(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.links["n2"].move(Membership(2, {name: address(name) for name in ("n1", "n2")}))
+            await asyncio.sleep(0.01)
+            self.assertEqual(fleet.links["n0"].standing("n2"), State.GONE)
+
+        play(story)
+
     def test_one_that_is_out_itself_has_no_links_though_others_still_dial_it(self) -> None:
         async def story(fleet: Fleet) -> None:
             links = fleet.links["n1"]
