--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import unittest
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -194,10 +195,24 @@
             self.assertEqual(fleet.links["n0"].standing("n1"), State.GONE)
             await asyncio.sleep(5.0)
             self.assertEqual(fleet.links["n0"].standing("n1"), State.GONE)  # though it still listens
+            self.assertEqual(fleet.links["n2"].standing("n1"), State.GONE)  # nor does it dial
 
         self.assertIn(("n0", "n1", "t", b"last"), play(story).heard)
 
 
+    def test_after_a_link_that_lasted_the_waits_begin_anew(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.kill("n1")
+            await asyncio.sleep(10.0)
+            await fleet.start("n1")
+            await asyncio.sleep(6.0)
+            fleet.net.reset_some("n1")
+            await asyncio.sleep(0.3)
+            self.assertEqual(fleet.links["n0"].standing("n1"), State.LIVE)
+
+        play(story)
+
+
 class Strangers(unittest.TestCase):
     def test_what_may_not_begin_is_ended_with_a_reason_and_nothing_else_is_touched(self) -> None:
         hello = t.Hello(1, "n0", "9999-s", "n1", 1, 1)
@@ -244,6 +259,17 @@
         self.assertIn(("n1", "n0", "t", b"new"), fleet.heard)
         self.assertEqual(fleet.said("n1", "fleet connection ended")[0]["kind"], "EarlierLife")
 
+    def test_a_second_hello_ends_the_link(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            line = await fleet.stranger("n2")
+            await read(line.reader, t.decoder)
+            line.writer.write(frame(t.Hello(1, "n0", "9999-s", "n2", 2, 1)))
+            await asyncio.sleep(0.1)
+            self.assertEqual(fleet.links["n2"].standing("n0"), State.GONE)
+
+        kinds = [row["kind"] for row in play(story, begin=1).said("n2", "fleet connection ended")]
+        self.assertEqual(kinds, ["MalformedFrame"])
+
     def test_of_two_connections_of_one_life_the_later_dial_is_kept(self) -> None:
         async def story(fleet: Fleet) -> None:
             late, early = [await fleet.stranger("n2", dial=dial) for dial in (2, 1)]
@@ -367,6 +393,52 @@
         self.assertEqual(faults, [])
 
 
+class Sides(unittest.IsolatedAsyncioTestCase):
+    async def test_what_a_leaving_node_sent_to_one_that_is_behind_arrives_whoever_dialled(self) -> None:
+        for who, name in enumerate(("n0", "n1")):
+            own = [{"n0": ("127.0.0.1", 1), "n1": ("127.0.0.1", 1)} for _ in range(2)]
+            got: list[Any] = []
+            hear: Any = lambda *word, got=got: got.append(word)  # noqa: E731
+            pair = [
+                Links(Sockets(), n, begun(1.0, "x"), Membership(1, own[i]), hear, lambda log: None)
+                for i, n in enumerate(("n0", "n1"))
+            ]
+            for links in pair:
+                links.topics.add("t")
+            await pair[1].listen(("127.0.0.1", 0))
+            own[0]["n1"] = pair[1].listener.sockets[0].getsockname()  # type: ignore[union-attr]
+            for links in pair:
+                links.begin()
+            while not (pair[0].links and pair[1].links):
+                await asyncio.sleep(0.01)
+            sender, other = pair[who], pair[1 - who]
+            transport: Any = other.links[name].writer.transport
+            transport.pause_reading()
+            sent = 0
+            while sender.send(other.name, "t", bytes(60_000)):
+                sent += 1
+            transport.resume_reading()
+            await sender.leave()
+            sender.close()
+            while other.links:
+                await asyncio.sleep(0.01)
+            other.close()
+            self.assertEqual(len(got), sent, name)
+
+    async def test_many_that_come_at_once_and_say_nothing_are_held_to_the_bound(self) -> None:
+        links = Links(Sockets(), "n1", begun(1.0, "x"), Membership(1, {"n1": ("", 1)}), print, print)
+        await links.listen(("127.0.0.1", 0))
+        at, most = links.listener.sockets[0].getsockname(), 0  # type: ignore[union-attr]
+        socks = [socket.create_connection(at) for _ in range(3 * WAITING_MOST)]
+        for _ in range(50):
+            await asyncio.sleep(0)
+            most = max(most, len(links.waiting))
+        self.assertEqual(most, WAITING_MOST)
+        links.close()
+        for sock in socks:
+            sock.close()
+
+
 class Errors(unittest.TestCase):
     def test_each_has_a_remedy_and_stands_in_the_page_for_those_on_call(self) -> None:
         page = Path("docs/on-call.md").read_text()
@@ -386,6 +458,8 @@
                 self.assertTrue(fleet.links[name].move(later))
                 self.assertFalse(fleet.links[name].move(later))
                 self.assertFalse(fleet.links[name].move(Membership(1, {})))
+            await asyncio.sleep(0.01)
+            self.assertEqual(fleet.links["n2"].links, {})  # ended at once, not when it has been silent
             await asyncio.sleep(3.0)
             for name in ("n0", "n1"):
                 standing = fleet.links[name].standing
@@ -393,3 +467,20 @@
             self.assertEqual(fleet.links["n0"].dialled, 3)  # n1's link was left as it was
 
         self.assertEqual(len(play(story).said("n0", "fleet membership refused")), 1)
+
+    def test_one_that_takes_another_out_ends_the_link_that_the_other_dialled(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.links["n2"].move(Membership(2, {name: address(name) for name in ("n1", "n2")}))
+            await asyncio.sleep(0.01)
+            self.assertEqual(fleet.links["n0"].standing("n2"), State.GONE)
+
+        play(story)
+
+    def test_one_that_is_out_itself_has_no_links_though_others_still_dial_it(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n1"]
+            links.move(Membership(2, {name: address(name) for name in ("n0", "n2", "m9")}))
+            await asyncio.sleep(3.0)
+            self.assertEqual((links.links, links.dials, links.life_of("n0")), ({}, {}, ""))
+
+        self.assertEqual(play(story).said("n1", "fleet connection ended")[0]["kind"], "UnknownSender")
