A req carries what routing rules leave of its choice

Need: rules are to narrow the servers, repeats and window that a req has, and decide nothing. Change: interface.Narrow (among, dispatches, window) and Rules; looked up where a req is let in, applied in the pick after cold budget, group and evidence; the room is counted over those left. Incoming has Ruled, reducer carries it.

--- a/onyxpost/edge/messages/__init__.py
+++ b/onyxpost/edge/messages/__init__.py
@@ -23,6 +23,7 @@
     Page,
     PeerTold,
     Place,
+    Ruled,
     Send,
     Spend,
     Tell,
@@ -38,7 +39,7 @@
 __all__ = [
     "BODY_MOST", "DATAGRAM_MOST", "STANDINGS", "Address", "Answer", "Asked", "ClientLeft", "Close", "Ended",
     "Granted", "Headers", "Incoming", "Kind", "Leave", "ListFailed", "Listed", "Log", "Outgoing", "Page",
-    "PeerTold", "Place", "Row", "Rows", "Send", "Spend", "Tell", "Unused", "Wake", "Watch", "Withdraw",
-    "Withdrawn", "Woken", "address", "answer", "asked", "datagram", "fault", "listed", "onward", "peer_told",
-    "result", "told",
+    "PeerTold", "Place", "Row", "Rows", "Ruled", "Send", "Spend", "Tell", "Unused", "Wake", "Watch",
+    "Withdraw", "Withdrawn", "Woken", "address", "answer", "asked", "datagram", "fault", "listed", "onward",
+    "peer_told", "result", "told",
 ]  # fmt: skip
--- a/onyxpost/edge/messages/values.py
+++ b/onyxpost/edge/messages/values.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
-from onyxpost.interface import ListRow, Result
+from onyxpost.interface import ListRow, Result, Rules
 
 Headers = list[tuple[bytes, bytes]]
 Address = tuple[str, int]
@@ -97,7 +97,13 @@
     lease: int
 
 
-Incoming = Asked | ClientLeft | Ended | Listed | ListFailed | PeerTold | Woken | Granted | Withdrawn
+class Ruled(NamedTuple):
+    """Routing rules take effect."""
+
+    rules: Rules
+
+
+Incoming = Asked | ClientLeft | Ended | Listed | ListFailed | PeerTold | Woken | Granted | Withdrawn | Ruled
 
 
 class Send(NamedTuple):
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -118,6 +118,8 @@
                 return ("granted", customer, lease, units, ends)
             case m.Withdrawn(customer, lease):
                 return ("withdrawn", customer, lease)
+            case m.Ruled(rules):
+                return ("ruled", rules)
 
     def asked(self, a: m.Asked) -> tuple[object, ...] | None:
         if a.trace in self.traces:
--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -12,7 +12,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from math import inf
+from typing import Protocol, TypeVar
 
 
 class Effect(Enum):
@@ -120,6 +121,40 @@
     started: float
 
 
+class Placed(Protocol):
+    """What rules look at in an app server."""
+
+    id: str
+    hall: str
+    cell: int
+
+
+S = TypeVar("S", bound=Placed)
+
+
+class Narrow:
+    """What routing rules leave to be chosen from for one req; this one leaves all.
+
+    `dispatches`: the most that the req may have. `window`: the share of the window above which it is denied.
+    """
+
+    dispatches: float = inf
+    window: float = 1.0
+
+    def among(self, servers: list[S]) -> list[S]:
+        """Those that may be chosen, in the same order; some of `servers`, never others."""
+        return servers
+
+
+WIDE = Narrow()
+
+
+class Rules(Protocol):
+    """Routing rules in force. A req keeps what they said at its first dispatch."""
+
+    def narrow(self, frontend: str, plan: str, customer: int) -> Narrow: ...
+
+
 class Writer(Protocol):
     """Takes the decisions of a round, in their order."""
 
--- a/onyxpost/policy/gateway.py
+++ b/onyxpost/policy/gateway.py
@@ -3,23 +3,23 @@
 from collections.abc import Iterable
 from zlib import crc32
 
-from onyxpost.interface import Allowed, ColdRule, Frontend, ListRow, Plan, Result, Writer
+from onyxpost.interface import Allowed, ColdRule, Frontend, ListRow, Plan, Result, Rules, Writer
 from onyxpost.policy import peers, quota, reqs, servers, theta, window
 
 
 class Gateway:
     BEAT, GOSSIP = 50.0, 50.0  # ms between rounds of housekeeping, between tellings
     COME_BACK = 0.03  # share of the response target after which one denied for lack of room may come again
-    RESEND_SHARE = 0.2  # further dispatches for each arrival
-    RESEND_MOST = 10.0
+    RESEND_SHARE, RESEND_MOST = 0.2, 10.0  # further dispatches for each arrival; most in store
+    rules: Rules | None = None
 
     def __init__(
         self, now: float, *, seed: int, number: int, nodes: int, tick: float,
         frontends: list[Frontend], plans: list[Plan], cold_rule: ColdRule, allowed: Allowed, must_ask: bool,
     ) -> None:
         self.now, self.seed, self.drawn, self.born = now, seed, 0, now
-        self.number, self.nodes, self.tick = number, nodes, tick
-        self.plans, self.allowed, self.must_ask = plans, allowed, must_ask
+        self.number, self.nodes, self.tick, self.plans = number, nodes, tick, plans
+        self.allowed, self.must_ask, self.resends, self.awake = allowed, must_ask, self.RESEND_MOST, False
         self.frontends = {f.name: f for f in frontends}
         shortest = min(f.response_target for f in frontends)
         self.reqs: dict[str, reqs.Req] = {}
@@ -30,7 +30,6 @@
         life = f"{crc32(f'{seed}/life'.encode()) & 0xFFFF:x}"
         self.peers = peers.Peers(life, plans, self.customer, allowed.peers * allowed.peer_messages_per_s)
         self.gossip_at, self.sweep_at = now + self.GOSSIP * self.chance(), now
-        self.resends, self.awake = self.RESEND_MOST, False
         self.writer: Writer
 
     def chance(self) -> float:
@@ -91,8 +90,7 @@
     def dispatch_ended(
         self, rid: str, number: int, result: Result, waited: float, settled: bool, actual: int
     ) -> None:
-        req = self.reqs.get(rid)
-        if req is None or number >= len(req.dispatches):
+        if (req := self.reqs.get(rid)) is None or number >= len(req.dispatches):
             return
         d = req.dispatches[number]
         d.out, d.may_have_run = False, d.may_have_run and not result.never_ran
@@ -114,8 +112,7 @@
             self.give_up(req)
 
     def granted(self, key: int, lease: int, units: int, ends: float) -> None:
-        customer = self.customers.get(key)
-        if customer is None or ends <= self.now:
+        if (customer := self.customers.get(key)) is None or ends <= self.now:
             self.writer.unused(lease, units)
         else:
             customer.leases[lease] = [units, ends]
@@ -125,6 +122,9 @@
         left = customer.leases.pop(lease, [0.0])[0] if customer is not None else 0.0
         self.writer.unused(lease, int(left))
 
+    def ruled(self, rules: Rules) -> None:
+        self.rules = rules
+
     def told(self, peer: int, body: str) -> None:
         self.peers.told(self.now, peer, body, self.release)
 
@@ -189,6 +189,8 @@
 
     def let_in(self, req: reqs.Req) -> None:
         customer, req.began = req.customer, self.now
+        if self.rules is not None:
+            req.narrow = self.rules.narrow(req.frontend.name, customer.plan.name, customer.key)
         shed = self.theta.theta > 0.0 and self.chance() < self.theta.theta
         srv = None if shed else self.servers.pick(self.now, req)
         if srv is None:
@@ -220,8 +222,8 @@
     def send_again(self, req: reqs.Req) -> bool:
         """A further dispatch within the effect rules, the budget and what is still of use; only elsewhere."""
         fine = req.may_repeat(self.now, self.servers.usual) and self.now < req.leaves - 2.0 * self.tick
-        fine = fine and self.resends >= 1.0 and len(req.dispatches) < self.allowed.dispatches
-        srv = self.servers.pick(self.now, req) if fine else None
+        fine = fine and req.narrow.dispatches > len(req.dispatches) < self.allowed.dispatches
+        srv = self.servers.pick(self.now, req) if fine and self.resends >= 1.0 else None
         if srv is not None:
             self.resends -= 1.0
             self.send(req, srv)
--- a/onyxpost/policy/quota.py
+++ b/onyxpost/policy/quota.py
@@ -21,9 +21,8 @@
         self.key, self.seen, self.number, self.nodes, self.safe = key, born, number, nodes, safe
         self.part = 1.0  # of the quota that the own store fills with
         self.leases: dict[int, list[float]] = {}  # units left, end
-        self.plan = UNKNOWN
+        self.plan, self.keeper, self.about = UNKNOWN, -1, ""
         self.peers: list[int] = []
-        self.keeper, self.about = -1, ""
         self.level, self.at, self.ceiling, self.share = 0.0, born, 0.0, 1.0
         self.count, self.told, self.turn, self.open = 0, 0, 0, 0
         self.heard: dict[int, Heard] = {}
--- a/onyxpost/policy/reqs.py
+++ b/onyxpost/policy/reqs.py
@@ -2,7 +2,7 @@
 
 from zlib import crc32
 
-from onyxpost.interface import ColdRule, Effect, Frontend, Group, ListRow
+from onyxpost.interface import WIDE, ColdRule, Effect, Frontend, Group, ListRow, Narrow
 from onyxpost.policy.quota import Customer
 from onyxpost.ring import Ring
 
@@ -41,11 +41,12 @@
 
 
 class Req:
+    narrow: Narrow = WIDE  # what the rules in force at its first dispatch leave
+
     def __init__(self, rid: str, now: float, leaves: float, frontend: Frontend, cust: Customer, units: int):
         self.id, self.arrived, self.leaves, self.frontend = rid, now, leaves, frontend
-        self.customer, self.units = cust, units
+        self.customer, self.units, self.began = cust, units, now  # began: when it was let in
         self.due = min(leaves, now + frontend.response_target)
-        self.began = now  # when it was let in
         self.dispatches: list[Dispatch] = []
         self.done = self.streaming = False
 
--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -5,7 +5,7 @@
 from weakref import WeakKeyDictionary
 from zlib import crc32
 
-from onyxpost.interface import ColdRule, Effect, ListRow, Result, Standing, Writer
+from onyxpost.interface import WIDE, ColdRule, Effect, ListRow, Result, Standing, Writer
 from onyxpost.policy import quota, reqs, window
 from onyxpost.ring import Ring
 
@@ -13,17 +13,16 @@
 class Servers:
     MARGIN = 1.1  # a server has enough when its expected response is so many times the least
     FAILED_SHARE = 0.35  # a server failing more of its dispatches is passed over
-    CLOSED = 1000.0  # ms for which a server is passed over at first; doubled each time up to CLOSED_MOST
-    CLOSED_MOST = 8000.0
+    CLOSED, CLOSED_MOST = 1000.0, 8000.0  # ms for which a server is passed over: first, doubled up to
     ASSESS = 100.0  # ms between looks at all servers
 
     def __init__(self, born: float, number: int, rule: ColdRule, room: window.Window, unseen: float) -> None:
         self.born, self.number, self.rule, self.window = born, number, rule, room
         self.unseen = self.usual = unseen  # a response time until one has been seen
-        self.gap, self.assess_at = 1000.0, born
+        # ms for which one that took a req is surely there: less while news is missing
+        self.gap, self.assess_at, self.sure_for = 1000.0, born, inf
         self.known: dict[str, reqs.Srv] = {}
         self.ready: list[reqs.Srv] = []
-        self.sure_for = inf  # ms for which one that took a req is surely there: less while news is missing
         self.stirred: dict[reqs.Srv, None] = {}  # with something out, or seen of late: work goes by these
         self.fleet = Ring(reqs.Srv.SPAN / 12, 12, 3)  # answers, their response times, reqs to be sent
         self.rankings = WeakKeyDictionary[quota.Customer, list[reqs.Srv]]()  # until the list changes
@@ -81,14 +80,17 @@
         # A cold server gets its sure share of all that is to be sent, each node's first at any time in its
         # interval: all nodes' firsts at once would push it over.
         cold = {s for s in ranking if s.warmth(now) < 1.0}
-        able = [s for s in ranking if s not in cold or s.cold_part <= 0.0]
-        able = [s for s in able if now - s.shown < self.sure_for]
+        able = [s for s in ranking if now - s.shown < self.sure_for and (s not in cold or s.cold_part <= 0.0)]
         risky = req.risky()
         if risky is not None and req.frontend.effect is Effect.UNIQUED:
             able = [s for s in able if s.place(req.frontend.group) == risky.srv.place(req.frontend.group)]
         able = [s for s in able if all(d.srv is not s for d in req.dispatches)] or ([] if risky else able)
         # Not failing; one that failed is tried again with one dispatch at a time.
         fit = [s for s in able if not s.strikes or (now >= s.closed_until and not s.out)] or able
+        if (rule := req.narrow) is not WIDE:  # those left have a part of the window: all would overdrive them
+            fit = rule.among(fit)
+            if self.window.full(fit, sum(1 for s in fit for d in s.out if now < d.req.due), rule.window):
+                return None
         # Cold servers whose turn it is go first: unknown, they would get nothing beside those known.
         first = next((s for s in fit if not s.out and s in cold), None)
         if first is not None or not fit:
--- a/onyxpost/policy/theta.py
+++ b/onyxpost/policy/theta.py
@@ -5,8 +5,7 @@
 
 
 class Theta:
-    PERIOD = 500.0
-    MOST = 0.95
+    PERIOD, MOST = 500.0, 0.95
     FLOOR = 0.2  # least input coefficient: under it a step would grow without bound
     GAIN, STEP = 0.3, 0.1  # share of the gap to target that one period closes; most that it moves
     ALPHA = 0.01  # pace of the LMS fit
