Routing rules from a versioned file, by frontend, plan, share of customers and hall

Need: operators move a part of the reqs to named halls, cells or servers without a restart. Change: onyxpost/rollout/rules: form by types, refusals with their place (no servers left, never used, group split, unknown names), compiled by frontend and plan; `rules` and `hall` in a node's file; SIGHUP takes a later version, a bad one is logged and stops nothing else. Off otherwise.

--- a/onyxpost/edge/node.py
+++ b/onyxpost/edge/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Annotated, Any, Literal
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from onyxpost.fleet.membership import Fleet
+    from onyxpost.rollout.rules.compiled import Ruled
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,9 @@
     deployment: Deployment
     planners: Planning | None = None
     fleet: Fleet | None = None
+    hall: str | None = None
+    rules: str | None = None  # the path of the rules' file
+    ruled: Ruled | None = None  # what it says, at the start
 
 
 class Limits(Given):
@@ -76,6 +81,8 @@
     discovery_too: str | None = None
     planners: Members | None = None
     fleet: FleetSection | None = None
+    hall: Annotated[str, Meta(min_length=1)] | None = None
+    rules: Annotated[str, Meta(min_length=1)] | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -92,15 +99,25 @@
             fields[name] = environ[variable]
     if by_file is not None and by_file != fields.get("discovery"):
         fields["discovery_too"] = by_file  # moved while this node was down, one of them is closed by now
-    return decode(fields, path)
+    return decode(fields, path, again)
 
 
-def decode(fields: dict[str, Any], where: str = "node") -> Node:
+def decode(fields: dict[str, Any], where: str = "node", again: bool = False) -> Node:
+    """The rules' file that it names, by a path from its own folder, is read with it, but not `again`: bad
+    rules then stop nothing else that the file brings."""
     file = typed(fields, File, where)
     try:
-        return _node(file)
+        told = _node(file)
     except Unreadable as err:
         raise err.placed(where) from err
+    if file.rules is None:
+        return told
+    told = replace(told, rules=os.path.join(os.path.dirname(where), file.rules))
+    if again:
+        return told
+    from onyxpost.rollout.rules.file import of  # loaded only where there are rules
+
+    return replace(told, ruled=of(told, told))
 
 
 def _node(file: File) -> Node:
@@ -140,4 +157,5 @@
         deployment=deployment,
         planners=planners,
         fleet=fleet,
+        hall=file.hall,
     )
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -41,7 +41,7 @@
     def __init__(
         self, node: Node, lines: Lines, reread: Callable[[], Node], net: Net | None = None
     ) -> None:
-        self.node, self.lines, self.reread = node, lines, reread
+        self.node, self.lines, self.reread, self.ruled = node, lines, reread, node.ruled
         self.net: Net = net or Sockets()
         self.now = self.net.clock
         self.phase = Phase.STARTING
@@ -103,6 +103,9 @@
         if self.node.peer_listen is not None:
             await self.peers.listen(self.node.peer_listen)
         self.inbox.append(self.node.known)
+        if self.ruled is not None:
+            self.inbox.append(m.Ruled(self.ruled))
+            self.log(m.Log("rules", self.ruled.fields()))
         self.round()
         if not self.node.deployment.must_ask:
             self.discovery.begin()
@@ -158,11 +161,19 @@
         except Unreadable as err:
             self.log(m.Log("reload refused", dict(err.fields()), logging.WARNING))
             return
-        later = ("name", "listen", "peer_listen", "peers", "deployment")
+        later = ("name", "listen", "peer_listen", "peers", "deployment", "hall")
         changed = [name for name in later if getattr(told, name) != getattr(self.node, name)]
         at = [given.fleet and given.fleet.listen for given in (told, self.node)]
         if at[0] != at[1]:
             changed.append("fleet")
+        if told.rules is not None:
+            from onyxpost.rollout.rules.file import later as later_rules  # loaded only where there are rules
+
+            if (ruled := later_rules(told, self.node, self.ruled, self.log)) is not None:
+                self.ruled = ruled
+                self.post(m.Ruled(ruled))
+        elif self.ruled is not None:
+            changed.append("rules")
         self.node = replace(self.node, discovery=told.discovery, descriptors=told.descriptors)
         self.discovery.move(told.discovery)
         if self.planners is not None and told.planners is not None:
--- /dev/null
+++ b/onyxpost/rollout/rules/file.py
@@ -0,0 +1,75 @@
+"""The rules' file that a node's file names: read whole at the start and at SIGHUP. All I/O of the rules."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections.abc import Callable
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.node import Node
+from onyxpost.errors import NotOpened, Unreadable
+from onyxpost.rollout.rules import form
+from onyxpost.rollout.rules.checks import Around, check
+from onyxpost.rollout.rules.compiled import Ruled
+from onyxpost.rollout.rules.errors import EarlierRules, OtherRules
+
+
+def load(data: bytes, around: Around, where: str = "rules") -> Ruled:
+    """A file's text made ready; all errors are Unreadable and name file and place."""
+    try:
+        file = form.parse(data)
+        check(file, around)
+    except Unreadable as err:
+        raise err.placed(where) from err
+    return Ruled(file, hashlib.sha256(data).hexdigest(), around)
+
+
+def around(told: Node, serving: Node) -> Around:
+    """`told`: the node's file as it is now; `serving`: as it was at the start, which frontends, plans and the
+    own hall go by."""
+    rows = [*told.known.rows, *serving.known.rows]
+    halls = {row.hall for row in rows if row.hall} | ({serving.hall} if serving.hall is not None else set())
+    deployment = serving.deployment
+    return Around(
+        {f.name: f for f in deployment.frontends}, frozenset(p.name for p in deployment.plans),
+        frozenset(halls), serving.hall,
+    )  # fmt: skip
+
+
+def of(told: Node, serving: Node) -> Ruled:
+    """What the rules' file of `told` says. Raises Unreadable."""
+    path = str(told.rules)
+    try:
+        with open(path, "rb") as file:
+            data = file.read(form.BYTES_MOST + 1)
+    except OSError as err:
+        raise NotOpened(str(err.strerror), path) from err
+    return load(data, around(told, serving), path)
+
+
+def newer(held: Ruled | None, brought: Ruled, where: str = "rules") -> bool:
+    """Does it take effect? The same text again does not. Raises EarlierRules, OtherRules."""
+    if held is None or brought.version > held.version:
+        return True
+    if brought.version < held.version:
+        what = f"version {brought.version} is earlier than {held.version} - at `$.version`"
+        raise EarlierRules(what, where)
+    if brought.digest != held.digest:
+        raise OtherRules(f"version {held.version} is in force with another text - at `$.version`", where)
+    return False
+
+
+def later(told: Node, serving: Node, held: Ruled | None, log: Callable[[m.Log], None]) -> Ruled | None:
+    """At SIGHUP: rules that take effect now, if any. A file that cannot be used is logged."""
+    try:
+        brought = of(told, serving)
+        if not newer(held, brought, str(told.rules)):
+            return None
+    except Unreadable as err:
+        version = None if held is None else held.version
+        fields = {"kind": type(err).__name__, "in force": version, **err.fields()}
+        log(m.Log("rules refused", fields, logging.WARNING))
+        return None
+    log(m.Log("rules", brought.fields() | {"was": None if held is None else held.version}))
+    return brought
--- a/tests/host.py
+++ b/tests/host.py
@@ -193,7 +193,7 @@
         self.file: dict[str, Any] | None = None  # what it finds when told to read its file again
         told = node.decode(node_fields(*servers, **more))
         lines = Lines("n0", out=io.TextIOWrapper(self.out, write_through=True))
-        self.program = Program(told, lines, lambda: node.decode(self.file or {}))
+        self.program = Program(told, lines, lambda: node.decode(self.file or {}, again=True))
 
     async def __aenter__(self) -> Edge:
         self.running = asyncio.get_running_loop().create_task(self.program.run())
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -11,7 +11,8 @@
 
 HEAVY = (
     "click", "matplotlib", "numpy", "hdrh", "argparse",
-    "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.fleet", "onyxpost.cli",
+    "onyxpost.lab", "onyxpost.plan", "onyxpost.forward", "onyxpost.fleet", "onyxpost.rollout", "tomllib",
+    "onyxpost.cli",
 )  # fmt: skip
 PROBE = """
 import sys, onyxpost.{0}.serve
@@ -55,7 +56,7 @@
     def test_the_examples_can_be_used(self) -> None:
         for name, said in (
             ("node", "n0: 1 servers, 1 frontends\n"), ("forwarder", "f0: 1 servers, 1 frontends\n"),
-            ("fleet", "n0: 1 servers, 1 frontends\n"),
+            ("fleet", "n0: 1 servers, 1 frontends\n"), ("ruled", "n0: 2 servers, 1 frontends\n"),
             ("planner", "p0: planner of version 1, 1 forwarders, 1 plans\n"),
         ):  # fmt: skip
             found = CliRunner().invoke(main, ["check", f"deploy/example-{name}.json"])
