--- a/onyxpost/cli.py
+++ b/onyxpost/cli.py
@@ -82,7 +82,10 @@
     except Unreadable as err:
         click.echo(f"onyxpost: {err.line()}", err=True)
         sys.exit(2)
-    click.echo(f"{told.name}: {len(told.known.rows)} servers, {len(told.deployment.frontends)} frontends")
+    ruled = "" if told.ruled is None else f", rules of version {told.ruled.version}"
+    click.echo(
+        f"{told.name}: {len(told.known.rows)} servers, {len(told.deployment.frontends)} frontends{ruled}"
+    )
 
 
 def _text(file: str) -> bytes:
--- a/tests/rollout/test_rules.py
+++ b/tests/rollout/test_rules.py
@@ -8,11 +8,12 @@
 from zlib import crc32
 
 import msgspec
-from hypothesis import given
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from onyxpost.errors import Unreadable
-from onyxpost.interface import WIDE, Effect, Frontend, Group, Result, Standing
+from onyxpost.interface import WIDE, Effect, Frontend, Group, Plan, Result, Standing
+from onyxpost.policy.gateway import Gateway
 from onyxpost.rollout.rules import compiled, errors, file, form
 from onyxpost.rollout.rules.checks import Around, shadowed
 from onyxpost.rollout.rules.compiled import Ruled, mixed
@@ -147,6 +148,7 @@
 TWO = Around({n: AROUND.frontends[n] for n in "fg"}, AROUND.plans, AROUND.halls, "h0")
 
 
+@settings(phases=[Phase.generate])
 @given(SERVERS, st.sets(st.sampled_from(HERE)), st.integers(0, 2**32 - 1))
 def narrows(told: Any, there: set[str], who: int) -> None:
     rule = msgspec.convert({"servers": told}, type=form.Rule, str_keys=True)
@@ -299,8 +301,6 @@
         self.assertEqual({server, again}, {"s1", "s4"})
 
     def test_a_req_that_waited_for_its_ceiling_goes_by_the_rules_in_force_when_it_is_let_in(self) -> None:
-        from onyxpost.interface import Plan
-
         host = self.host(to("h1"), servers=6, plan=Plan("p", 1000.0, 9000.0, 0, 1.0, 10.0, 100.0))
         self.assertEqual(kinds(host.arrive(spread=1)), [])
         host.feed("ruled", ruled(to("h2"), version=2))
@@ -336,6 +336,12 @@
         def swapped(self: Any, servers: list[Any]) -> list[Any]:
             return next((f for takes in self.choices if (f := [s for s in servers if takes(s)])), [])
 
+        again = Gateway.send_again
+
+        def rules_of_now(self: Any, req: Any) -> bool:
+            req.narrow = self.rules.narrow(req.frontend.name, req.customer.plan.name, req.customer.key)
+            return again(self, req)
+
         def stays_old(self: Any, rules: Any) -> None:
             self.rules = self.rules or rules
 
@@ -343,6 +349,10 @@
             (compiled, "mixed", linear, Matching, "test_shares_and_weights_hold_and_are_independent"),
             (compiled.Left, "among", swapped, Machines,
              "test_rules_never_widen_nor_reorder_nor_leave_nothing"),
+            ("onyxpost.policy.gateway.Gateway", "send_again", rules_of_now, Decisions,
+             "test_the_rules_of_the_first_dispatch_hold_and_new_reqs_go_by_the_new_ones"),
+            ("onyxpost.rollout.rules.checks", "within", lambda choice, other: False, Refused,
+             "test_what_cannot_be_used_is_refused_with_its_place"),
             (compiled.Left, "among", lambda self, servers: servers[::-1], Machines,
              "test_rules_never_widen_nor_reorder_nor_leave_nothing"),
             ("onyxpost.policy.gateway.Gateway", "ruled", stays_old, Decisions,
