What rules deny for lack of room does not count as to be sent

Need: a cold server's turn comes by what the node has to send; denied by a rule's small window, a flood counted in it and would have sent a cold server more than its share. Change: a req is counted once its narrowed room is known; a story compares the count with what was sent, and fails without.

--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -76,7 +76,6 @@
         # What is out past its response target is lost or hung, or will be: it takes up no room.
         if self.window.full(ranking, sum(1 for s in self.stirred for d in s.out if now < d.req.due)):
             return None
-        self.fleet.add(now, 0.0, 0.0, 1.0)
         # A cold server gets its sure share of all that is to be sent, each node's first at any time in its
         # interval: all nodes' firsts at once would push it over.
         cold = {s for s in ranking if s.warmth(now) < 1.0}
@@ -91,6 +90,7 @@
             fit = rule.among(fit)
             if self.window.full(fit, sum(1 for s in fit for d in s.out if now < d.req.due), rule.window):
                 return None
+        self.fleet.add(now, 0.0, 0.0, 1.0)
         # Cold servers whose turn it is go first: unknown, they would get nothing beside those known.
         first = next((s for s in fit if not s.out and s in cold), None)
         if first is not None or not fit:
--- a/tests/rollout/test_rules.py
+++ b/tests/rollout/test_rules.py
@@ -316,7 +316,10 @@
     def test_a_smaller_window_and_a_narrowed_one_deny_sooner(self) -> None:
         def let_in(*told: dict[str, Any]) -> int:
             host = self.host(*told, servers=6)
-            return [kinds(host.arrive(key=f"c{i}"))[0] for i in range(40)].count("dispatch")
+            sent = [kinds(host.arrive(key=f"c{i}"))[0] for i in range(40)].count("dispatch")
+            # What is denied must not count as to be sent: a cold server's turn would come too often.
+            self.assertEqual(host.gateway.servers.fleet.total(host.now, 2), sent)
+            return sent
 
         self.assertEqual([let_in(), let_in({"window": 0.5}), let_in(to("h1"))], [16, 8, 6])
 
