Rig: a stage of duties held by real processes, their acts on the way through relays

Duties had rules for a checker and a taker, but no run of real processes that fed them. The stage starts nodes with a fleet and duties over relays, hurts holders by name of their duty, and judges holders, fences and records (with the era). A lost lease's line says how long ago the lease was over, so that overlaps are exact. Four bugs put in are found; a late act is refused by its fence.

--- a/onyxpost/duties/effects.py
+++ b/onyxpost/duties/effects.py
@@ -39,6 +39,7 @@
     duty: str
     fence: int
     why: str
+    until: float = float("inf")  # ms of the node's clock; from then on nobody acted
 
 
 @dataclass(frozen=True, slots=True)
--- a/onyxpost/duties/holder.py
+++ b/onyxpost/duties/holder.py
@@ -98,9 +98,9 @@
         return [Written(self.duty, self.fence, turn.seq)]
 
     def let_go(self, why: str) -> list[Effect]:
-        self.until = float("-inf")
+        until, self.until = self.until, float("-inf")
         gone = w.Release(duty=self.duty, version=self.voters.version, ballot=self.ballot, held=True)
-        return [Lost(self.duty, self.fence, why), *(Say(name, gone) for name in self.voters.names)]
+        return [Lost(self.duty, self.fence, why, until), *(Say(name, gone) for name in self.voters.names)]
 
     def step(self, voters: Voters) -> None:
         """Answers of two versions are not added up; what is held by the old one runs to its end."""
--- a/onyxpost/duties/service.py
+++ b/onyxpost/duties/service.py
@@ -164,8 +164,10 @@
                 self.holding[duty] = self.net.clock(), effect
                 self.tell(duty, "held", effect.fence, **self.said(record), era=effect.era)
             case e.Lost():
-                since, _ = self.holding.pop(duty, (self.net.clock(), None))
-                self.tell(duty, "lost", effect.fence, why=effect.why, lasted=round(self.net.clock() - since))
+                now = self.net.clock()
+                since, _ = self.holding.pop(duty, (now, None))
+                ago = round(max(0.0, now - effect.until), 1)  # a look each beat finds out that late
+                self.tell(duty, "lost", effect.fence, why=effect.why, lasted=round(now - since), ago=ago)
             case e.Written():
                 holder = self.table.seats[duty].holder
                 if holder is not None and holder.record.seq == effect.seq:
--- a/onyxpost/lab/rig/cli.py
+++ b/onyxpost/lab/rig/cli.py
@@ -34,9 +34,9 @@
     """
     from onyxpost.lab.rig import conduct, scenario as scenarios
     from onyxpost.lab.rig.errors import RigUnusable
+    from onyxpost.lab.rig.planted import PLANTS
     from onyxpost.lab.rig.script import Script, decode
     from onyxpost.lab.runs import seeds as numbers
-    from onyxpost.lab.seeds import PLANTS
 
     if plant not in PLANTS:
         raise RigUnusable(f"no plant {plant!r}; there are {', '.join(name for name in PLANTS if name)}")
--- a/onyxpost/lab/rig/edge_stage.py
+++ b/onyxpost/lab/rig/edge_stage.py
@@ -17,11 +17,11 @@
 from onyxpost.interface import Standing
 from onyxpost.lab.cluster import HALLS, LARGEST, SETTINGS
 from onyxpost.lab.rig.asking import Asking
-from onyxpost.lab.rig.checker import Judge, faults
+from onyxpost.lab.rig.checker import Event, Judge, faults
 from onyxpost.lab.rig.edge_rules import Edge
 from onyxpost.lab.rig.relay import base
 from onyxpost.lab.rig.script import Fault
-from onyxpost.lab.rig.stage import Ground, text
+from onyxpost.lab.rig.stage import Counts, Ground, text
 from onyxpost.lab.standins import Agent, AppServer, Nobody
 
 TRACE = re.compile(rb"x-trace-id: ([^\r\n]+)", re.IGNORECASE)
@@ -111,6 +111,9 @@
 
     # Faults of app servers
 
+    def whom(self, place: str) -> str:
+        return place
+
     async def fault(self, fault: Fault) -> None:
         server = self.servers[int(fault.whom[1:])]
         if fault.kind == "slow":
@@ -152,7 +155,7 @@
         t = self.told
         return faults, Edge(t.frontends, t.plans, t.cold_rule, t.drain_grace, LARGEST)
 
-    def counts(self) -> dict[str, int]:
+    def counts(self, events: Sequence[Event]) -> Counts:
         events = self.ground.events
         finals = Counter(e["final"] for e in events if e["event"] == "answered")
         kinds = Counter(e["event"] for e in events)
--- a/onyxpost/lab/rig/stages.py
+++ b/onyxpost/lab/rig/stages.py
@@ -5,7 +5,7 @@
 from onyxpost.lab.rig.errors import RigUnusable
 from onyxpost.lab.rig.stage import Ground, Stage
 
-NAMES = ("edge",)
+NAMES = ("edge", "duties")
 
 
 def made(ground: Ground) -> Stage:
@@ -13,5 +13,9 @@
         from onyxpost.lab.rig.edge_stage import EdgeStage
 
         return EdgeStage(ground)
+    if ground.scenario.stage == "duties":
+        from onyxpost.lab.rig.duty_stage import DutyStage
+
+        return DutyStage(ground)
     why = f"no stage {ground.scenario.stage!r}; there are {', '.join(NAMES)} - at `$.stage`"
     raise RigUnusable(why, ground.scenario.name)
--- /dev/null
+++ b/tests/test_rig_duties.py
@@ -0,0 +1,116 @@
+"""Duties held by real processes: the rules hold under faults, and bugs put in are found."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+from typing import Any
+
+import pytest
+
+from onyxpost.lab.rig import duty_rules, scenario, script
+from onyxpost.lab.rig.checker import check
+from onyxpost.lab.rig.duty_handing import handed
+from onyxpost.lab.rig.script import Fault
+
+pytestmark = pytest.mark.xdist_group("quiet")  # many processes: not beside what measures time
+
+LATE = Fault(2.0, "late-act", "h0", 1.3)
+LONG = 'about = "a lease longer than a restart"\nstage = "duties"\nlease_s = 3.0\nduties = 3\n'
+PARTED = (("n0", "n1", "n2"), ("n3", "n4"))
+KILLED = [Fault(5.0, "kill", f"n{i}", 0.05) for i in range(3)]
+WHOLE = [LATE, Fault(4.6, "kill", "h1", 0.1), Fault(6.6, "alone", "h2", 1.4)]
+PLAYS = {
+    "": ("duties-stalls", 9.0, WHOLE),
+    "careless": ("duties-stalls", 5.0, [LATE]),
+    "overstays": ("duties-stalls", 4.5, [Fault(2.0, "alone", "h0", 1.8)]),
+    "forgets": ("long", 8.5, [Fault(4.9, "groups", "all", 4.0, 0.0, PARTED), *KILLED]),
+    "begins-anew": ("duties-stalls", 3.5, [Fault(2.5, "term", "h0", 0.1)]),
+}
+
+
+class Processes(unittest.TestCase):
+    outcomes: dict[str, dict[str, Any]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """All at once: most of it is waiting for leases to end."""
+        folder = pathlib.Path(cls.enterClassContext(tempfile.TemporaryDirectory()))
+        (folder / "long.toml").write_text(LONG)
+        rigs = []
+        for plant, (name, seconds, told) in PLAYS.items():
+            place, out = folder / f"{plant}.json", folder / f"{plant}.jsonl"
+            place.write_bytes(script.encode(script.Script(name, 3, 5, seconds, sorted(told), plant)))
+            words = ["-m", "onyxpost", "lab", "rig", "--replay", str(place), "--out", str(out)]
+            words += [str(folder / "long.toml")] if name == "long" else []
+            rigs.append(subprocess.Popen([sys.executable, *words], stdout=subprocess.DEVNULL))
+        for rig in rigs:
+            rig.wait(60.0)
+        cls.outcomes = {
+            plant: json.loads((folder / f"{plant}.jsonl").read_text().splitlines()[0]) for plant in PLAYS
+        }
+
+    def test_a_kill_a_cut_and_a_stop_with_an_act_on_its_way_keep_the_rules(self) -> None:
+        outcome = self.outcomes[""]
+        self.assertEqual(outcome["breaches"], [])
+        self.assertGreater(outcome["refused_by_fence"], 0, outcome)  # the act that was on its way
+        for kind in ("stop", "kill", "cut"):
+            self.assertTrue(outcome[f"{kind}_ms"], outcome)
+        self.assertGreater(outcome["wrote"], 20, outcome)
+
+    def test_bugs_put_in_are_found_by_the_rule_that_each_breaks(self) -> None:
+        for plant, rule in (
+            ("careless", duty_rules.FENCES), ("overstays", duty_rules.HOLDERS),
+            ("forgets", duty_rules.HOLDERS), ("begins-anew", duty_rules.RECORDS),
+        ):  # fmt: skip
+            with self.subTest(plant):
+                found = {breach["rule"] for breach in self.outcomes[plant]["breaches"]}
+                self.assertIn(rule, found, self.outcomes[plant])
+
+
+def duty(t: float, node: str, act: str, fence: int, **fields: Any) -> dict[str, Any]:
+    return {"t": t, "event": "duty", "node": node, "act": act, "fence": fence, "duty": "d"} | fields
+
+
+def process(t: float, what: str) -> dict[str, Any]:
+    return {"t": t, "event": "process", "node": "n0", "what": what}
+
+
+class Rules(unittest.TestCase):
+    def test_what_was_confirmed_before_an_era_may_be_missing_and_nothing_after_it(self) -> None:
+        for wrote, broken in ((90.0, []), (110.0, [duty_rules.RECORDS])):
+            events = [
+                duty(0.0, "n0", "held", 1), duty(20.0, "n0", "wrote", 1, number=4, record="x", at=wrote),
+                duty(50.0, "n0", "lost", 1), duty(60.0, "n1", "held", 2, era=100),
+            ]  # fmt: skip
+            self.assertEqual([b.rule for b in check(events, duty_rules.JUDGES, 1)], broken)
+
+    def test_a_lease_that_ended_before_its_line_is_no_overlap(self) -> None:
+        for ago, broken in ((30.0, []), (0.0, [duty_rules.HOLDERS])):
+            lost = duty(50.0, "n0", "lost", 1, ago=ago)
+            events = [duty(0.0, "n0", "held", 1), duty(40.0, "n1", "held", 2), lost]
+            self.assertEqual([b.rule for b in check(events, duty_rules.JUDGES, 1)], broken)
+
+    def test_time_to_hand_over_is_told_by_fault_and_a_duty_that_was_kept_is_left_out(self) -> None:
+        played = {"t": 900.0, "event": "fault played", "kind": "alone", "whom": "n1"}
+        events = [
+            duty(0.0, "n0", "held", 1), process(100.0, "stopped"), process(1300.0, "continued"),
+            duty(600.0, "n1", "held", 2), played, duty(9000.0, "n1", "lost", 2),
+            duty(9010.0, "n2", "held", 3), duty(1301.0, "n0", "lost", 1, ago=750.0),
+        ]  # fmt: skip
+        self.assertEqual(handed(sorted(events, key=lambda e: e["t"]), 1000.0), {"stop": [500]})
+
+
+class Scripts(unittest.TestCase):
+    def test_bridges_meet_in_one_voter_and_most_faults_are_a_holders(self) -> None:
+        one = scenario.sized(scenario.load("duties-bridge"), 5, 300.0)
+        told = scenario.scripted(one, 1)
+        self.assertEqual(script.decode(script.encode(told), "x"), told)
+        for fault in (fault for fault in told.faults if fault.kind == "bridge"):
+            first, second = (set(group) for group in fault.groups)
+            self.assertEqual((len(first & second), len(first | second)), (1, 5))
+            self.assertEqual([len(group & {"n0", "n1", "n2"}) for group in (first, second)], [2, 2])
+        held = [fault.whom[0] == "h" for fault in told.faults if fault.kind in ("kill", "stop", "term")]
+        self.assertGreater(sum(held), len(held) / 2)
