Rig: acts that leave a node after its lease's end break a rule, whatever its own line says

The judge of one holder took a node's word for the end of its lease. Now each act that its relay saw leave is held against that end, with no excuse for a process that just woke.

--- a/onyxpost/lab/rig/duty_rules.py
+++ b/onyxpost/lab/rig/duty_rules.py
@@ -3,7 +3,8 @@
 Nodes write `{"event": "duty", "duty": D, "act": A, "fence": F, "mono": ms}`, `A` one of `held` (with `number`
 and `record` of what was read, and its `era`, Unix ms: what was confirmed before it may be missing), `lost`
 (`ago`: ms since the lease was over by the node's clock, if it was), `wrote` (confirmed; `number`, `record`),
-`refused`. `mono` is `time.monotonic()` in ms: one clock for all processes of a machine. The taker writes
+`refused`. `mono` is `time.monotonic()` in ms: one clock for all processes of a machine. The relays write
+`{"event": "act sent", "node", "duty", "fence"}`, the taker
 `{"event": "act", "duty", "fence", "holder", "accepted"}`.
 """
 
@@ -11,7 +12,7 @@
 
 from collections.abc import Sequence
 
-from onyxpost.lab.rig.checker import Away, Event, Found
+from onyxpost.lab.rig.checker import LONG, Away, Event, Found, Late
 
 HOLDERS, FENCES, RECORDS = "one holder", "fences", "records"
 
@@ -71,6 +72,21 @@
     return [*parts, (begin, end)] if begin < end else parts
 
 
+def after_its_end(events: Sequence[Event]) -> Found:
+    """What a node says of its lease's end is held against what left it: no act later, also not just awake."""
+    late, found = Late(events), []
+    ends = {(duty, h.node, h.fence): h.end for duty, all_ in holdings(events).items() for h in all_}
+    for event in events:
+        if event["event"] != "act sent":
+            continue
+        t, node, duty = float(event["t"]), str(event["node"]), str(event["duty"])
+        end = ends.get((duty, node, int(event["fence"])), float("inf"))
+        if t > end + LONG + late.slack and not late.within(node, end, t):
+            what = f"acts for {duty} with fence {event['fence']}, {t - end:.0f} ms after its lease's end"
+            found.append((HOLDERS, t, node, what))
+    return found
+
+
 def fences(events: Sequence[Event]) -> Found:
     """Each holding has a fence of its own above all earlier; who takes acts never goes back."""
     found: Found = []
@@ -116,4 +132,4 @@
     return found
 
 
-JUDGES = (one_holder, fences, records)
+JUDGES = (one_holder, after_its_end, fences, records)
--- a/onyxpost/lab/rig/duty_stage.py
+++ b/onyxpost/lab/rig/duty_stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Sequence
 from typing import Any
 
@@ -18,6 +19,7 @@
 from onyxpost.lab.rig.taker import Taker
 from onyxpost.lab.standins import Agent, Nobody
 
+ACT = re.compile(rb"POST /acts/(\S+) .*?\r\nfence: (\d+)\r\n", re.IGNORECASE | re.DOTALL)
 SKEW = 200.0  # ms
 EVERY = 200.0  # ms between a holder's acts
 LATER = 3.0  # s more in which another holder may come to act, before what is held up is let go
@@ -45,6 +47,8 @@
     def heard(self, a: str, b: str, data: bytes, passed: bool) -> None:
         if b == "s0" and not passed:
             self.sent[a] = self.sent.get(a, 0) + 1
+            if (act := ACT.search(data)) is not None:
+                self.ground.record("act sent", node=a, duty=act[1].decode(), fence=int(act[2]))
 
     async def open(self) -> None:
         ground, numbers = self.ground, self.ground.numbers
--- a/tests/test_rig_duties.py
+++ b/tests/test_rig_duties.py
@@ -93,6 +93,15 @@
             events = [duty(0.0, "n0", "held", 1), duty(40.0, "n1", "held", 2), lost]
             self.assertEqual([b.rule for b in check(events, duty_rules.JUDGES, 1)], broken)
 
+    def test_an_act_that_leaves_a_node_after_its_lease_also_just_awake_is_a_breach(self) -> None:
+        for t, broken in ((30.0, []), (1301.0, [duty_rules.HOLDERS])):
+            events = [
+                duty(0.0, "n0", "held", 1), process(40.0, "stopped"), process(1300.0, "continued"),
+                {"t": t, "event": "act sent", "node": "n0", "duty": "d", "fence": 1},
+                duty(1302.0, "n0", "lost", 1, ago=900.0),
+            ]  # fmt: skip
+            self.assertEqual([b.rule for b in check(events, duty_rules.JUDGES, 1)], broken)
+
     def test_time_to_hand_over_is_told_by_fault_and_a_duty_that_was_kept_is_left_out(self) -> None:
         played = {"t": 900.0, "event": "fault played", "kind": "alone", "whom": "n1"}
         events = [
