--- a/onyxpost/lab/rig/duty_stage.py
+++ b/onyxpost/lab/rig/duty_stage.py
@@ -11,6 +11,7 @@
 from onyxpost.lab.cluster import SETTINGS
 from onyxpost.lab.rig import duty_rules
 from onyxpost.lab.rig.checker import Event, Judge, faults
+from onyxpost.lab.rig.duty_eras import Eras
 from onyxpost.lab.rig.duty_handing import handed, words_a_second
 from onyxpost.lab.rig.duty_plants import CARELESS
 from onyxpost.lab.rig.relay import Manner
@@ -129,7 +130,8 @@
     # The end
 
     def judges(self) -> Sequence[Judge]:
-        return faults, *duty_rules.JUDGES
+        voters = [f"n{i}" for i in range(min(VOTERS, len(self.files)))]
+        return faults, *duty_rules.JUDGES, Eras(voters, 3.0 * (self.lease + SKEW))
 
     def counts(self, events: Sequence[Event]) -> Counts:
         kinds = [str(e["act"]) for e in events if e["event"] == "duty" and "mono" in e]
--- a/tests/test_rig_duties.py
+++ b/tests/test_rig_duties.py
@@ -12,6 +12,7 @@
 
 from onyxpost.lab.rig import duty_rules, scenario, script
 from onyxpost.lab.rig.checker import check
+from onyxpost.lab.rig.duty_eras import Eras
 from onyxpost.lab.rig.duty_handing import handed
 from onyxpost.lab.rig.script import Fault
 
@@ -87,6 +88,15 @@
             ]  # fmt: skip
             self.assertEqual([b.rule for b in check(events, duty_rules.JUDGES, 1)], broken)
 
+    def test_an_era_begins_only_after_most_voters_forgot(self) -> None:
+        votes = {"event": "duty", "act": "votes", "duty": "d"}
+        for others, broken in (([], [duty_rules.RECORDS]), (["n1"], [])):
+            events = [votes | {"t": 10.0, "node": f"n{i}"} for i in range(3)]
+            events += [process(5000.0, "killed") | {"node": name} for name in ("n0", *others)]
+            events += [votes | {"t": 6000.0, "node": "n0"}]
+            events += [duty(6100.0, "n4", "held", 2, at=16100.0, era=16000.0)]
+            self.assertEqual([b.rule for b in check(events, [Eras(["n0", "n1", "n2"], 300.0)], 1)], broken)
+
     def test_a_lease_that_ended_before_its_line_is_no_overlap(self) -> None:
         for ago, broken in ((30.0, []), (0.0, [duty_rules.HOLDERS])):
             lost = duty(50.0, "n0", "lost", 1, ago=ago)
