--- a/onyxpost/lab/rig/cli.py
+++ b/onyxpost/lab/rig/cli.py
@@ -32,7 +32,7 @@
     Exit 0: played, no rule broken. Exit 1: a rule was broken. Exit 2: something given cannot be used.
     Exit 130: interrupted; what was finished is kept, and no process is left.
     """
-    from onyxpost.lab.rig import conduct, scenario as scenarios
+    from onyxpost.lab.rig import conduct, duty_plants, scenario as scenarios
     from onyxpost.lab.rig.errors import RigUnusable
     from onyxpost.lab.rig.planted import PLANTS
     from onyxpost.lab.rig.script import Script, decode
@@ -53,6 +53,8 @@
     else:
         one = scenarios.sized(scenarios.load(scenario), nodes, seconds)
         scripts = [scenarios.scripted(one, seed, plant) for seed in numbers(seeds)]
+    if one.stage != "duties" and any(script.plant in duty_plants.PLANTS for script in scripts):
+        raise RigUnusable(f"the bug {scripts[0].plant!r} is of duties, not of stage {one.stage!r}", one.name)
     lines: list[dict[str, Any]] = []
     broken, interrupted = 0, False
     try:
