One reading of a whole req for the stand-ins: app servers and who takes acts

Need: the rig's taker had the loop that the app servers' stand-in had, event by event. Now standins.whole() serves both; the taker's bound on bodies stays its own.

--- a/onyxpost/lab/rig/taker.py
+++ b/onyxpost/lab/rig/taker.py
@@ -10,11 +10,11 @@
 import contextlib
 import re
 from collections.abc import Callable
-from typing import Any
 
 import h11
 
-from onyxpost.edge.exchange import READ, message
+from onyxpost.edge.exchange import message
+from onyxpost.lab.standins import whole
 
 DUTY = re.compile(rb"/acts/([A-Za-z0-9_.-]{1,100})")
 BODY_MOST = 65536
@@ -58,23 +58,10 @@
     async def one(
         self, http: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        head: h11.Request | None = None
-        body = b""
-        while True:
-            event: Any = http.next_event()
-            if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(READ))
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > BODY_MOST:
-                    return False
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            else:
-                return False
-        assert head is not None
+        came = await whole(http, reader, BODY_MOST)
+        if came is None:
+            return False
+        head, body = came
         named = dict(head.headers)
         found = DUTY.fullmatch(head.target)
         fence, holder = named.get(b"fence", b""), named.get(b"holder", b"")
--- a/onyxpost/lab/standins.py
+++ b/onyxpost/lab/standins.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import contextlib
+from math import inf
 from typing import Any, Protocol
 
 import h11
 import msgspec
 
 from onyxpost.edge import messages as m
-from onyxpost.edge.exchange import message
+from onyxpost.edge.exchange import READ, message
 from onyxpost.edge.net import Listener, Net
 from onyxpost.interface import Standing
 
@@ -18,6 +19,28 @@
 LIMIT, ACCEPTS = 65536, 16
 
 
+async def whole(
+    http: h11.Connection, reader: asyncio.StreamReader, most: float = inf
+) -> tuple[h11.Request, bytes] | None:
+    """The next req with its body, as a stand-in reads it; None: none comes any more, or over `most` bytes."""
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event: Any = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await reader.read(READ))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > most:
+                return None
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head, body
+        else:
+            return None
+
+
 class Watching(Protocol):
     """Whoever wants to know what reaches the stand-ins, and what they tell."""
 
@@ -72,19 +95,10 @@
     async def one(
         self, http: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        request: h11.Request | None = None
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(65536))
-            elif isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                return False
-        assert request is not None
-        named = dict(request.headers)
+        came = await whole(http, reader)
+        if came is None:
+            return False
+        named = dict(came[0].headers)
         trace = named.get(b"x-trace-id", b"").decode()
         node, number = self.watching.reached(writer, trace, self)
         how, delay = self.how, self.delay
