--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -11,14 +11,14 @@
 
 
 class Held:
-    """A client's req that is owed its one final answer, or whose attemptes are still out."""
+    """A client's req that is owed its one final answer, or whose attempts are still out."""
 
-    __slots__ = ("answered", "asked", "attemptes", "id", "leaves", "out")
+    __slots__ = ("answered", "asked", "attempts", "id", "leaves", "out")
 
     def __init__(self, rid: str, asked: m.Asked, leaves: float) -> None:
         self.id, self.asked, self.leaves = rid, asked, leaves
         self.answered = False
-        self.attemptes: list[int] = []
+        self.attempts: list[int] = []
         self.out = 0
 
 
@@ -33,7 +33,7 @@
         self.held: dict[str, Held] = {}
         self.clients: dict[int, Held] = {}  # by connection, while an answer is owed
         self.traces: dict[str, Held] = {}  # while an answer is owed or an attempt is out
-        self.attemptes: dict[int, tuple[Held, int]] = {}  # those out
+        self.attempts: dict[int, tuple[Held, int]] = {}  # those out
         self.later: list[tuple[object, ...]] = []  # what the decider is told in the next round
         self.places: dict[str, m.Place] = {}
         self.effects: list[m.Outgoing] = []
@@ -87,7 +87,7 @@
 
     def end(self, held: Held) -> None:
         """Abort what the decider has lost sight of."""
-        for number in range(len(held.attemptes)):
+        for number in range(len(held.attempts)):
             self.cancel(held.id, number)
         self.answer(held, m.Answer(held.asked.client, m.Kind.ABORTED))
         self.later.append(("client_left", held.id))
@@ -144,7 +144,7 @@
         return ("listed", told.complete, told.rows)
 
     def ended(self, end: m.Ended) -> tuple[object, ...] | None:
-        held, number = self.attemptes.pop(end.attempt, (None, 0))
+        held, number = self.attempts.pop(end.attempt, (None, 0))
         if held is None:
             return None
         held.out -= 1
@@ -163,7 +163,7 @@
 
     def over(self, held: Held) -> None:
         held.answered = True
-        self.effects += [m.Withdraw(d) for d in held.attemptes if held.out and d in self.attemptes]
+        self.effects += [m.Withdraw(d) for d in held.attempts if held.out and d in self.attempts]
         self.forget(held)
 
     def forget(self, held: Held) -> None:
@@ -176,13 +176,13 @@
     def attempt(self, req: str, server: str, give_up_after: float) -> None:
         self.sent += 1
         held = self.held[req]
-        number = len(held.attemptes)
-        held.attemptes.append(self.sent)
+        number = len(held.attempts)
+        held.attempts.append(self.sent)
         until = min(give_up_after, held.leaves - self.now)
         if held.answered or until <= 0.0 or server not in self.places:
             self.later.append(("attempt_ended", req, number, Result.UNUSED, 0.0, held.answered, 0))
             return
-        self.attemptes[self.sent] = held, number
+        self.attempts[self.sent] = held, number
         held.out += 1
         self.effects.append(m.Send(self.sent, self.places[server], held.asked, until))
 
@@ -196,8 +196,8 @@
 
     def cancel(self, req: str, number: int) -> None:
         held = self.held.get(req)
-        if held is not None and number < len(held.attemptes) and held.attemptes[number] in self.attemptes:
-            self.effects.append(m.Close(held.attemptes[number]))
+        if held is not None and number < len(held.attempts) and held.attempts[number] in self.attempts:
+            self.effects.append(m.Close(held.attempts[number]))
 
     def tell(self, peer: int, body: str) -> None:
         self.effects.append(m.Tell(peer, m.datagram(body)))
--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """rate 0: no quota in units; open_cap 0: no cap on attemptes out; ceiling_rate 0: no hard ceiling."""
+    """rate 0: no quota in units; open_cap 0: no cap on attempts out; ceiling_rate 0: no hard ceiling."""
 
     name: str
     rate: float
@@ -99,7 +99,7 @@
 class Allowed:
     """What this deployment lets an edge node do."""
 
-    attemptes: int
+    attempts: int
     side_by_side: bool
     cancel: bool
     peers: bool
@@ -135,10 +135,10 @@
 class Narrow:
     """What routing rules leave to be chosen from for one req; this one leaves all.
 
-    `attemptes`: the most that the req may have. `window`: the share of the window above which it is denied.
+    `attempts`: the most that the req may have. `window`: the share of the window above which it is denied.
     """
 
-    attemptes: float = inf
+    attempts: float = inf
     window: float = 1.0
 
     def among(self, servers: list[S]) -> list[S]:
--- a/onyxpost/lab/nodes.py
+++ b/onyxpost/lab/nodes.py
@@ -320,7 +320,7 @@
             return
         flight = Flight(self, held, number, known)
         held.flights.append(flight)
-        self.world.count("attemptes")
+        self.world.count("attempts")
         flight.begin(until)
 
     def answer(self, held: Held, final: str, retry_after: float) -> None:
--- a/onyxpost/lab/plants.py
+++ b/onyxpost/lab/plants.py
@@ -10,7 +10,7 @@
 
 
 def _resends_all(program: Program) -> None:
-    """Further attemptes whatever may have run."""
+    """Further attempts whatever may have run."""
     gateway: Any = program.reducer.decider
     arrived = gateway.arrived
 
--- a/onyxpost/lab/report.py
+++ b/onyxpost/lab/report.py
@@ -17,7 +17,7 @@
     "beyond_quota": "units sent on beyond quotas",
     "late": "passed after the response target",
     "mean_ms": "mean time to an answer passed, from the first try",
-    "attemptes_per_try": "attemptes a try",
+    "attempts_per_try": "attempts a try",
     "handshakes_per_attempt": "new connections an attempt",
     "connections_most": "most connections at one server",
     "messages_per_try": "peer messages a try",
--- a/onyxpost/lab/scenario.py
+++ b/onyxpost/lab/scenario.py
@@ -203,13 +203,13 @@
     cold: Cold = msgspec.field(default_factory=Cold)
     planners: Planners | None = None
     drain_grace_ms: Positive = 250.0
-    attemptes: Annotated[int, Meta(ge=1, le=20)] = 5
+    attempts: Annotated[int, Meta(ge=1, le=20)] = 5
     longest_retry_after_ms: Time = 1000.0
     events: list[Events] = []
 
     def allowed(self) -> Allowed:
         return Allowed(
-            self.attemptes, True, True, True, self.longest_retry_after_ms, self.links.peer_intake,
+            self.attempts, True, True, True, self.longest_retry_after_ms, self.links.peer_intake,
             self.planners.share if self.planners is not None else 0.0,
         )  # fmt: skip
 
--- a/onyxpost/policy/gateway.py
+++ b/onyxpost/policy/gateway.py
@@ -10,7 +10,7 @@
 class Gateway:
     BEAT, GOSSIP = 50.0, 50.0  # ms between rounds of housekeeping, between tellings
     COME_BACK = 0.03  # share of the response target after which one denied for lack of room may come again
-    RESEND_SHARE, RESEND_MOST = 0.2, 10.0  # further attemptes for each arrival; most in store
+    RESEND_SHARE, RESEND_MOST = 0.2, 10.0  # further attempts for each arrival; most in store
     rules: Rules | None = None
 
     def __init__(
@@ -90,9 +90,9 @@
     def attempt_ended(
         self, rid: str, number: int, result: Result, waited: float, settled: bool, actual: int
     ) -> None:
-        if (req := self.reqs.get(rid)) is None or number >= len(req.attemptes):
+        if (req := self.reqs.get(rid)) is None or number >= len(req.attempts):
             return
-        d = req.attemptes[number]
+        d = req.attempts[number]
         d.out, d.may_have_run = False, d.may_have_run and not result.never_ran
         d.srv.out.pop(d, None)
         req.customer.open -= 1
@@ -208,8 +208,8 @@
     # What is sent and answered
 
     def send(self, req: reqs.Req, srv: reqs.Srv) -> None:
-        d = reqs.Attempt(req, srv, len(req.attemptes), self.now)
-        req.attemptes.append(d)
+        d = reqs.Attempt(req, srv, len(req.attempts), self.now)
+        req.attempts.append(d)
         srv.out[d] = None
         self.servers.stirred[srv] = None
         req.customer.open += 1
@@ -222,7 +222,7 @@
     def send_again(self, req: reqs.Req) -> bool:
         """A further attempt within the effect rules, the budget and what is still of use; only elsewhere."""
         fine = req.may_repeat(self.now, self.servers.usual) and self.now < req.leaves - 2.0 * self.tick
-        fine = fine and req.narrow.attemptes > len(req.attemptes) < self.allowed.attemptes
+        fine = fine and req.narrow.attempts > len(req.attempts) < self.allowed.attempts
         srv = self.servers.pick(self.now, req) if fine and self.resends >= 1.0 else None
         if srv is not None:
             self.resends -= 1.0
@@ -243,7 +243,7 @@
 
     def close(self, req: reqs.Req) -> None:
         req.done = True
-        for d in req.attemptes:
+        for d in req.attempts:
             if d.out and self.allowed.cancel and not req.streaming:
                 self.writer.cancel(req.id, d.number)
         if not req.out():
--- a/onyxpost/policy/reqs.py
+++ b/onyxpost/policy/reqs.py
@@ -1,4 +1,4 @@
-"""Reqs, their attemptes, and the app servers that these go to as this edge node has seen them."""
+"""Reqs, their attempts, and the app servers that these go to as this edge node has seen them."""
 
 from zlib import crc32
 
@@ -47,14 +47,14 @@
         self.id, self.arrived, self.leaves, self.frontend = rid, now, leaves, frontend
         self.customer, self.units, self.began = cust, units, now  # began: when it was let in
         self.due = min(leaves, now + frontend.response_target)
-        self.attemptes: list[Attempt] = []
+        self.attempts: list[Attempt] = []
         self.done = self.streaming = False
 
     def out(self) -> bool:
-        return any(d.out for d in self.attemptes)
+        return any(d.out for d in self.attempts)
 
     def risky(self) -> Attempt | None:  # the first that may have run
-        return next((d for d in self.attemptes if d.may_have_run), None)
+        return next((d for d in self.attempts if d.may_have_run), None)
 
     def may_repeat(self, now: float, usual: float) -> bool:
         """A further attempt is within the effect rules and still of use."""
--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -12,7 +12,7 @@
 
 class Servers:
     MARGIN = 1.1  # a server has enough when its expected response is so many times the least
-    FAILED_SHARE = 0.35  # a server failing more of its attemptes is passed over
+    FAILED_SHARE = 0.35  # a server failing more of its attempts is passed over
     CLOSED, CLOSED_MOST = 1000.0, 8000.0  # ms for which a server is passed over: first, doubled up to
     ASSESS = 100.0  # ms between looks at all servers
 
@@ -83,7 +83,7 @@
         risky = req.risky()
         if risky is not None and req.frontend.effect is Effect.KEYED:
             able = [s for s in able if s.place(req.frontend.group) == risky.srv.place(req.frontend.group)]
-        able = [s for s in able if all(d.srv is not s for d in req.attemptes)] or ([] if risky else able)
+        able = [s for s in able if all(d.srv is not s for d in req.attempts)] or ([] if risky else able)
         # Not failing; one that failed is tried again with one attempt at a time.
         fit = [s for s in able if not s.strikes or (now >= s.closed_until and not s.out)] or able
         if (rule := req.narrow) is not WIDE:  # those left have a part of the window: all would overdrive them
--- a/onyxpost/policy/window.py
+++ b/onyxpost/policy/window.py
@@ -1,4 +1,4 @@
-"""Attemptes that may be out at once: past them all servers have enough (Little: out is rate times time).
+"""Attempts that may be out at once: past them all servers have enough (Little: out is rate times time).
 
 Covers surges, lost zones, slow dependencies; could harm where many answers are late by nature.
 """
--- a/onyxpost/rollout/counts/words.py
+++ b/onyxpost/rollout/counts/words.py
@@ -17,7 +17,7 @@
 STRATA_MOST = 64  # strata of a node that are told apart; the rest is counted as OTHER
 OTHER = "other"
 BUCKETS_MOST = 256
-ATTEMPTES_MOST = 8  # of one req, all of which may fail
+ATTEMPTS_MOST = 8  # of one req, all of which may fail
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Number = Annotated[int, Meta(ge=0, lt=2**53)]
@@ -25,7 +25,7 @@
 
 
 class Tally(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
-    """One side of a stratum. `failed` counts attemptes, all else reqs; `late` are those passed that took
+    """One side of a stratum. `failed` counts attempts, all else reqs; `late` are those passed that took
     longer than the response target; `took` are the latencies of those passed, by bucket (latency.py)."""
 
     asked: Number = 0
@@ -52,8 +52,8 @@
             return "more reqs ended than were asked"
         if self.late > self.passed or sum(self.took.values()) > self.passed:
             return "more late answers or latencies than reqs passed"
-        if self.failed > ATTEMPTES_MOST * self.asked:
-            return "more attemptes failed than its reqs can have had"
+        if self.failed > ATTEMPTS_MOST * self.asked:
+            return "more attempts failed than its reqs can have had"
         return ""
 
 
--- a/onyxpost/rollout/rules/compiled.py
+++ b/onyxpost/rollout/rules/compiled.py
@@ -28,11 +28,11 @@
 class Left(Narrow):
     """What one rule leaves: the first choice of which any server is there, at last all ("any")."""
 
-    __slots__ = ("attemptes", "choices", "window")
+    __slots__ = ("attempts", "choices", "window")
 
     def __init__(self, choices: list[Callable[[Placed], bool]], rule: Rule) -> None:
         self.choices = choices
-        self.attemptes: float = rule.attemptes or WIDE.attemptes
+        self.attempts: float = rule.attempts or WIDE.attempts
         self.window = rule.window or WIDE.window
 
     def among(self, servers: list[S]) -> list[S]:
@@ -98,7 +98,7 @@
 
 
 def _left(rule: Rule, lot: int) -> Narrow:
-    if rule.servers is None and rule.attemptes is None and rule.window is None:
+    if rule.servers is None and rule.attempts is None and rule.window is None:
         return WIDE
     choices = [] if rule.servers is None else [c for _, c in rule.servers.choices()]
     return Left([takes for choice in choices for takes in _tests(choice, lot)], rule)
--- a/onyxpost/rollout/rules/form.py
+++ b/onyxpost/rollout/rules/form.py
@@ -62,7 +62,7 @@
     customers: Customers | None = None
     at: Names | None = None  # zones of nodes
     servers: Servers | None = None
-    attemptes: Annotated[int, Meta(ge=1)] | None = None
+    attempts: Annotated[int, Meta(ge=1)] | None = None
     window: Annotated[float, Meta(gt=0.0, le=1.0)] | None = None
 
 
--- a/onyxpost/rollout/verdict/terms.py
+++ b/onyxpost/rollout/verdict/terms.py
@@ -6,7 +6,7 @@
 
 MEASURES = {"bad": 0.40, "failed": 0.10, "aborted": 0.10, "slow": 0.25, "tail": 0.10, "theta": 0.05}
 """Each measure's part of the chance of a false halt. bad: aborted, denied for room, or late; failed:
-attemptes; slow, tail: above the latency that a fifth, or a thirtieth, of control's reqs exceeded before."""
+attempts; slow, tail: above the latency that a fifth, or a thirtieth, of control's reqs exceeded before."""
 
 LEVELS = {"all": (0.4, 1), "part": (0.3, 64), "stratum": (0.3, 130)}
 """Over all; each zone, plan and frontend; each stratum: the level's part, shared by so many at most."""
--- a/tests/host.py
+++ b/tests/host.py
@@ -26,7 +26,7 @@
         plan: Plan | None = None, number: int = 0, nodes: int = 3, warm_ms: float = 10000.0, **allowed: Any,
     ) -> None:
         self.now, self.done, self.seq = 1_000_000.0, [], 0
-        may = {"attemptes": 4, "side_by_side": True, "cancel": True, "peers": True,
+        may = {"attempts": 4, "side_by_side": True, "cancel": True, "peers": True,
                "longest_retry_after": 500.0, "peer_messages_per_s": 50.0} | allowed
         self.gateway = Gateway(
             self.now, seed=7 + number, number=number, nodes=nodes, tick=1.0,
--- a/tests/rollout/test_counts.py
+++ b/tests/rollout/test_counts.py
@@ -83,7 +83,7 @@
     for word, why in (
         (one(99, 6000.0), "shrink"), (one(101, 4000.0), "shrink"), (one(-1, 6000.0), "negative"),
         (one(110, 6000.0, room=1), "ended than"), (one(110, 6000.0, late=111), "late answers"),
-        (one(110, 6000.0, failed=881), "attemptes"), (one(110, 6000.0, took={5: 111}), "latencies"),
+        (one(110, 6000.0, failed=881), "attempts"), (one(110, 6000.0, took={5: 111}), "latencies"),
         (one(110, 6000.0, took={104: 1}), "no bucket"), (one(10**6, 6000.0), "since its last word"),
         (one(110, 6000.0, "v3"), "another version"),
     ):
--- a/tests/rollout/test_rules.py
+++ b/tests/rollout/test_rules.py
@@ -63,7 +63,7 @@
             ("rules = [{plan = 'p'}]", errors.BadRules, "$.rules[0]"),
             ("rules = [{customers = {share = 0.0}}]", errors.BadRules, "$.rules[0].customers.share"),
             ("rules = [{window = 1.5}]", errors.BadRules, "$.rules[0].window"),
-            ("rules = [{attemptes = 0}]", errors.BadRules, "$.rules[0].attemptes"),
+            ("rules = [{attempts = 0}]", errors.BadRules, "$.rules[0].attempts"),
             ("rules = [{plans = ['z']}]", errors.UnknownName, "$.rules[0].plans"),
             ("rules = [{plans = ['p']}, {frontends = ['z']}]", errors.UnknownName, "$.rules[1].frontends"),
             ("rules = [{at = ['z']}]", errors.UnknownName, "$.rules[0].at"),
@@ -87,7 +87,7 @@
             (f"rules = [{{frontends = ['by-cell'], servers = {{{ok}, {any_}}}}}]", errors.SplitsGroup,
              "$.rules[0].servers.zones"),
             ("rules = [", errors.BadRules, "end of document"),
-            (f"rules = [{{attemptes = {'1' * 5000}}}]", errors.BadRules, "digits"),
+            (f"rules = [{{attempts = {'1' * 5000}}}]", errors.BadRules, "digits"),
             ("rules = []\n#" + "x" * 70000, errors.BadRules, "at most"),
         ):  # fmt: skip
             with self.subTest(line[:80]), self.assertRaises(Unreadable) as caught:
@@ -206,18 +206,18 @@
 class Matching(unittest.TestCase):
     def test_the_first_rule_that_matches_holds_and_none_leaves_all(self) -> None:
         table = ruled(
-            {"frontends": ["f"], "plans": ["q"]}, {"frontends": ["f"], "at": ["h1"], "attemptes": 1},
-            {"frontends": ["f"], "attemptes": 2, "window": 0.5},
+            {"frontends": ["f"], "plans": ["q"]}, {"frontends": ["f"], "at": ["h1"], "attempts": 1},
+            {"frontends": ["f"], "attempts": 2, "window": 0.5},
         )  # fmt: skip
         self.assertIs(table.narrow("f", "q", 1), WIDE)
         self.assertIs(table.narrow("g", "p", 1), WIDE)
-        self.assertEqual(table.narrow("f", "p", 1).attemptes, 2)
+        self.assertEqual(table.narrow("f", "p", 1).attempts, 2)
         self.assertEqual(table.narrow("f", "p", 1).window, 0.5)
 
     def test_shares_and_weights_hold_and_are_independent(self) -> None:
         half = {"customers": {"share": 0.5, "salt": "x"}}
         table = ruled(half | to() | {"servers": {"zones": {"h0": 3, "h1": 1}, "fallbacks": ["any"]}})
-        other = ruled({"frontends": ["f"], "customers": {"share": 0.5, "salt": "y"}, "attemptes": 1})
+        other = ruled({"frontends": ["f"], "customers": {"share": 0.5, "salt": "y"}, "attempts": 1})
         servers, seen = [Srv(f"s{i}", f"h{i}", 0) for i in range(3)], []
         for i in range(4000):
             key = crc32(f"{i:016x}".encode())
@@ -315,8 +315,8 @@
         (server,) = {d[2] for d in host.run(400.0) if d[0] == "attempt"}
         self.assertIn(server, {"s2", "s5"})
 
-    def test_fewer_attemptes(self) -> None:
-        host = self.host({"attemptes": 2}, servers=6)
+    def test_fewer_attempts(self) -> None:
+        host = self.host({"attempts": 2}, servers=6)
         ((_, req, *_),) = host.arrive()
         self.assertEqual(kinds(host.end(req, Result.LOST)), ["attempt"])
         self.assertEqual(kinds(host.end(req, Result.LOST, number=1)), ["deny"])
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -102,7 +102,7 @@
             (event("slow", at_s=1, for_s=4, times=8), "mean_ms", 20.0),
             (event("failing", at_s=1, for_s=4, share=1, fails=0.9), "passed_value", -0.2),
             (event("surge", at_s=1, for_s=4, times=5), "tries", 100),
-            (event("answers-lost", at_s=1, for_s=4, share=0.5), "attemptes_per_try", 0.02),
+            (event("answers-lost", at_s=1, for_s=4, share=0.5), "attempts_per_try", 0.02),
         ):
             found = totals(played(more))
             change = found[column] - calm[column]
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -66,7 +66,7 @@
         self.step(m.Ended(first.attempt + 2, Result.LOST, 9.0))
         ends = [item for item in self.script.told if item[0] == "attempt_ended"]
         self.assertEqual([(end[3], end[5]) for end in ends], ENDS)
-        self.assertEqual((self.reducer.held, self.reducer.traces, self.reducer.attemptes), ({}, {}, {}))
+        self.assertEqual((self.reducer.held, self.reducer.traces, self.reducer.attempts), ({}, {}, {}))
 
     def test_a_attempt_is_told_to_have_ended_once(self) -> None:
         (send,) = self.step(self.asked())
