Clients: one look tells whether a waiting req's client is surely still there

Change: `Net.unread` peeks an accepted connection (nothing, bytes or an end; bytes do not hide an end that lies behind them), the virtual network tells the same by what has arrived. `Clients.there(number)` is False for a connection that is unknown, closing, owed no answer, or whose end lies unread. Nobody asks it yet: the last look before an attempt's first byte is to.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -13,7 +13,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge.errors import NotTaken
 from onyxpost.edge.exchange import lean, message
-from onyxpost.edge.net import Listener, Net, accept_no_more
+from onyxpost.edge.net import Listener, Net, Unread, accept_no_more
 
 READ = 16384  # bytes asked of a client's stream at once, and about what may wait in it
 SLOW = 2_500.0  # ms in which a new connection must have sent a req, and a req that has begun be whole
@@ -172,6 +172,13 @@
             client.begun, client.waits, client.until = False, True, math.inf
             self.post(asked)
 
+    def there(self, number: int) -> bool:
+        """Does its client surely still wait for an answer? Also by what the loop has not read."""
+        client = self.open.get(number)
+        if client is None or not client.waits or client.writer.transport.is_closing():
+            return False
+        return self.net.unread(client.writer.transport) is not Unread.END
+
     def answer(self, answer: m.Answer) -> None:
         client = self.open.get(answer.client)
         if client is None or not client.waits:
--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -5,10 +5,12 @@
 import asyncio
 import gc
 import os
+import select
 import signal
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from typing import Any, NamedTuple, Protocol
 
 from onyxpost.edge import messages as m
@@ -35,6 +37,14 @@
     silent: Callable[[], bool]  # nothing waits on it, neither bytes nor its end, that the loop has not read
 
 
+class Unread(Enum):
+    """What the other end said that the loop has not read yet."""
+
+    NOTHING = "nothing"
+    BYTES = "bytes"
+    END = "end"  # it closed or reset, bytes may lie before it
+
+
 class Listener(Protocol):
     @property
     def sockets(self) -> tuple[Any, ...]: ...
@@ -53,6 +63,7 @@
     def monotonic(self) -> float: ...
     async def listen(self, serve: Serve, address: m.Address, limit: int, accepts: int) -> Listener: ...
     async def dial(self, address: m.Address, limit: int) -> Line: ...
+    def unread(self, transport: asyncio.BaseTransport) -> Unread: ...
     async def datagrams(self, protocol: asyncio.DatagramProtocol, address: m.Address) -> None: ...
     def signals(self, stop: Callable[[], None], reread: Callable[[], None]) -> None: ...
     def deaf(self) -> None: ...
@@ -97,6 +108,15 @@
             raise
         return Line(reader, asyncio.StreamWriter(transport, protocol, reader, loop), lambda: _silent(sock))
 
+    def unread(self, transport: asyncio.BaseTransport) -> Unread:
+        """Of a connection that was accepted. An end is told again as long as its transport is open."""
+        lent = transport.get_extra_info("socket")  # it shows no way to read
+        sock = socket.socket(lent.family, lent.type, lent.proto, fileno=lent.fileno())
+        try:
+            return _unread(sock)
+        finally:
+            sock.detach()
+
     async def datagrams(self, protocol: asyncio.DatagramProtocol, address: m.Address) -> None:
         loop = asyncio.get_running_loop()
         try:
@@ -127,10 +147,17 @@
 
 
 def _silent(sock: socket.socket) -> bool:
+    return _unread(sock) is Unread.NOTHING
+
+
+def _unread(sock: socket.socket) -> Unread:
     try:
-        sock.recv(1, socket.MSG_PEEK)
+        if not sock.recv(1, socket.MSG_PEEK):
+            return Unread.END
+        behind = select.poll()  # the bytes hide an end
+        behind.register(sock, select.POLLRDHUP)
+        return Unread.END if behind.poll(0) else Unread.BYTES
     except BlockingIOError:
-        return True
+        return Unread.NOTHING
     except OSError:
-        pass
-    return False
+        return Unread.END
--- a/onyxpost/lab/virtual/network.py
+++ b/onyxpost/lab/virtual/network.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from onyxpost.edge import messages as m
-from onyxpost.edge.net import Line, Reader, Serve
-from onyxpost.lab.virtual.wires import Wire
+from onyxpost.edge.net import Line, Reader, Serve, Unread
+from onyxpost.lab.virtual.wires import End, Wire
 
 EPOCH = 1_000_000_000_000.0  # Unix ms at a run's start
 
@@ -147,6 +147,12 @@
     async def dial(self, address: m.Address, limit: int) -> Line:
         return await self.net.dial(self.name, address, limit)
 
+    def unread(self, transport: asyncio.BaseTransport) -> Unread:
+        assert isinstance(transport, End)
+        if transport.shut or transport.heard_all:
+            return Unread.END
+        return Unread.BYTES if transport.waiting else Unread.NOTHING
+
     async def datagrams(self, protocol: asyncio.DatagramProtocol, address: m.Address) -> None:
         self.net.hosts[address] = self.name
         self.net.datagram[address] = self.name, protocol
--- a/onyxpost/lab/virtual/wires.py
+++ b/onyxpost/lab/virtual/wires.py
@@ -20,7 +20,7 @@
         self.loop = wire.net.loop
         self.protocol: asyncio.Protocol
         self.other: End
-        self.shut = self.lost = self.said_all = False
+        self.shut = self.lost = self.said_all = self.heard_all = False
         self.paused = False
         self.waiting: list[bytes] = []  # came while reading was paused; b"" is the end
         self.sent = 0
@@ -84,6 +84,7 @@
     def came(self, data: bytes) -> None:
         if self.lost or self.shut:
             return
+        self.heard_all = self.heard_all or not data
         if self.paused:
             self.waiting.append(data)
         elif data:
