Set TCP_NODELAY: small writes to clients, servers and peers were held back

Cause: asyncio sets it only on sockets whose `proto` is IPPROTO_TCP (`base_events._set_nodelay`). The listener came from `socket.create_server` and the dialled one from `socket.socket(family)`, both with `proto` 0, and an accepted socket takes its listener's. So no connection of a node had it, against what was believed.

Change: both name their protocol, in `edge/net.py`, the one place that makes sockets.

Result: a test holds it on accepted and on dialled connections; it fails without the change (0 is not true).

--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -86,7 +86,7 @@
 
     async def listen(self, serve: Serve, address: m.Address, limit: int, accepts: int) -> asyncio.Server:
         try:
-            listener = socket.create_server(address, backlog=1024)
+            listener = _named(socket.create_server(address, backlog=1024))
         except OSError as err:
             raise _not_had(address, err) from err
         server = await asyncio.start_server(serve, sock=listener, limit=limit, backlog=accepts)
@@ -96,7 +96,8 @@
     async def dial(self, address: m.Address, limit: int) -> Line:
         """The socket is made here: asyncio shows nobody what it has not read yet."""
         loop = asyncio.get_running_loop()
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         try:
             sock.setblocking(False)
             await loop.sock_connect(sock, address)
@@ -146,6 +147,11 @@
     return NotListening(system or str(err), "{}:{}".format(*address))
 
 
+def _named(sock: socket.socket) -> socket.socket:
+    """asyncio sets TCP_NODELAY only where a socket says it is TCP; one accepted says what this one does."""
+    return socket.socket(sock.family, sock.type, socket.IPPROTO_TCP, fileno=sock.detach())
+
+
 def _silent(sock: socket.socket) -> bool:
     return _unread(sock) is Unread.NOTHING
 
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -93,3 +93,14 @@
             return seen
 
         self.assertEqual(virtual.run(main()), [True, False, True, False])
+
+
+class Answered(unittest.IsolatedAsyncioTestCase):
+    async def test_small_writes_to_clients_and_servers_are_not_held_back(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            await edge.ask(wire_req())
+            ((link,),) = edge.program.servers.idle.values()
+            (client,) = edge.program.clients.open.values()
+            for writer in (client.writer, link.writer):
+                sock = writer.transport.get_extra_info("socket")
+                self.assertTrue(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
