One lingering close for clients; what has arrived, read or not, is still answered

Cause: `writer.close()` and `abort()` in those places close at once, and `Client.idle` judged by what was decoded.

Change: `Clients.part` is the one close: no more is said, what comes is read and thrown away until the client's end or a bound (1 s; 5 s while an answer still waits here to be taken), then the descriptor goes. Parting connections count as descriptors, and give theirs at once when one is needed. Whether a connection rests is asked of the stream's buffer and of the kernel (`Clients.quiet`). What is read after the shutdown is dropped: its client sends it once more. A connection that makes room with half a req gets 503. A client with over 128 KiB of untaken answers has no further req read. Accepted connections get a `Reader` that counts, also on the virtual network. `Client` moved to a module of its own.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -11,42 +11,22 @@
 
 from onyxpost.deployment import Deployment
 from onyxpost.edge import messages as m
+from onyxpost.edge.client import Client
 from onyxpost.edge.errors import NotTaken
-from onyxpost.edge.exchange import lean, message
-from onyxpost.edge.net import Listener, Net, Unread, accept_no_more
+from onyxpost.edge.exchange import again, lean, message
+from onyxpost.edge.net import Listener, Net, Reader, Unread, accept_no_more
 
 READ = 16384  # bytes asked of a client's stream at once, and about what may wait in it
 SLOW = 2_500.0  # ms in which a new connection must have sent a req, and a req that has begun be whole
 IDLE = 5_000.0  # ms that a connection may stand between reqs
 TURNS = 8  # of the loop: accepted, a transport, its protocol, the task that reads take a turn each
-LINGER = 1_000.0  # ms for the last answer to be taken before the connection is cut
+LINGER = 1_000.0  # ms that a connection is read on after its last answer, until its client closes
 MUTE = 100.0  # ms without a whole req after which a new connection may have to make room
+UNTAKEN = 131_072  # bytes of answers not taken yet with which a client's next req is not read
 BEYOND = 16  # connections past the node's room that are still told so
 ACCEPTS = 16  # connections taken in one turn of the loop: more would pass the limit before being counted
 
 
-class Client:
-    """One connection. A req at a time; while it waits for its answer, reading goes on to see it leave."""
-
-    def __init__(self, number: int, writer: asyncio.StreamWriter, now: float) -> None:
-        self.number, self.writer = number, writer
-        self.http = h11.Connection(h11.SERVER)
-        self.since = now  # when it last began to wait for a req, or got the first of one
-        self.until = now + SLOW  # when it is cut, unless it gets on
-        self.waits = False  # for the answer to a req that was handed on
-        self.begun = False  # some of a req is here
-        self.fresh = True  # nothing answered yet: its first req may be on its way
-        self.beyond = False  # the node's room: its one req is read, denied, and the connection closed
-        self.ahead = False  # it sent more before it had its answer: that is thrown away, and it is closed
-        self.rest = False  # of a req that was answered before it was whole: read and thrown away
-        self.request: h11.Request | None = None
-        self.asked: m.Asked | None = None  # what its head says, unless it asks for the node's health
-        self.body = bytearray()
-
-    def idle(self) -> bool:
-        return not self.waits and not self.begun and not self.writer.transport.is_closing()
-
-
 class Clients:
     def __init__(
         self, deployment: Deployment, net: Net, post: Callable[[m.Incoming], None],
@@ -56,8 +36,10 @@
         self.post, self.ready, self.room = post, ready, room
         self.fault = fault
         self.open: dict[int, Client] = {}
+        self.parting: dict[int, Client] = {}  # all is said to them; each still holds its descriptor
         self.opened = self.over = 0  # over: open past the node's room
         self.leaving = False
+        self.whole_by = math.inf  # ms, from when on a req that is not whole is not taken any more
         self.server: Listener | None = None
 
     async def listen(self, address: m.Address) -> None:
@@ -70,25 +52,28 @@
         for _ in range(TURNS):
             await asyncio.sleep(0)
         self.stop_listening()
+        self.whole_by = self.clock() + MUTE
 
     def stop_listening(self) -> None:
         if self.server is not None:
             self.server.close()
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: Reader, writer: asyncio.StreamWriter) -> None:
         room = self.room()
         if not room and self.over >= BEYOND:
             writer.transport.abort()
             return
         lean(writer, READ)
         self.opened += 1
-        client = self.open[self.opened] = Client(self.opened, writer, self.clock())
+        client = self.open[self.opened] = Client(self.opened, reader, writer, self.clock())
+        client.until += SLOW
         client.beyond = not room
         self.over += client.beyond
         try:
             while not writer.transport.is_closing() and (data := await reader.read(READ)):
+                client.taken += len(data)
                 self.came(client, data)
-            if not client.waits and not client.rest and not writer.transport.is_closing():
+            if client.number in self.open and not client.waits and not writer.transport.is_closing():
                 client.http.receive_data(b"")
                 self.take(client)  # a req that was cut short
         except OSError:
@@ -96,30 +81,55 @@
         except Exception as err:
             self.fault("client", err)
         finally:
-            if client.waits:
-                client.waits = False
-                self.post(m.ClientLeft(client.number))
             await self.end(client)
 
     async def end(self, client: Client) -> None:
-        """Close; an answer that nobody takes must not hold the descriptor for long."""
+        """Close; the sweep cuts one whose client takes nothing."""
+        self.part(client)
         client.writer.close()
         try:
-            async with asyncio.timeout(LINGER / 1000.0):
-                await client.writer.wait_closed()
+            await client.writer.wait_closed()
         except OSError:
-            client.writer.transport.abort()
+            pass
         finally:
             self.over -= client.beyond
-            self.open.pop(client.number, None)
+            self.parting.pop(client.number, None)
 
-    def came(self, client: Client, data: bytes) -> None:
-        if client.rest:
+    def part(self, client: Client) -> None:
+        """The one way to close: say no more, read on and throw away until the client's end or a bound. Closed
+        over unread bytes a connection is reset, and an answer just written may go with it. A req that comes
+        from now on is not taken: its client sees the end and sends it once more."""
+        if self.open.pop(client.number, None) is None:
             return
+        self.parting[client.number] = client
+        client.until = self.clock() + (IDLE if client.untaken() else LINGER)
+        client.body = bytearray()
+        if client.waits:
+            client.waits = False
+            self.post(m.ClientLeft(client.number))
+        try:
+            client.writer.write_eof()
+        except OSError:  # reset meanwhile
+            client.writer.transport.abort()
+
+    def cut(self, client: Client) -> None:
+        self.parting.pop(client.number, None)
+        client.writer.transport.abort()
+
+    def quiet(self, client: Client) -> bool:
+        """Nothing has come that was not read, neither bytes nor its end."""
+        read = client.reader.came == client.taken
+        return read and self.net.unread(client.writer.transport) is Unread.NOTHING
+
+    def came(self, client: Client, data: bytes) -> None:
+        if client.number not in self.open or client.writer.transport.is_closing():
+            return  # read after the shutdown: sent on, it would be lost
         if client.waits:
             client.ahead = True
             return
-        if client.idle():
+        if not client.begun:
+            if client.untaken() > UNTAKEN:
+                return self.part(client)
             client.begun, client.since = True, self.clock()
             client.until = client.until if client.fresh else client.since + SLOW
         client.http.receive_data(data)
@@ -166,7 +176,7 @@
         if client.asked is None:
             self.reply(client, 200 if self.ready() else 503, [], b"", close=client.ahead)
         elif client.beyond:
-            self.reply(client, 503, [(b"Retry-After", b"1")], b"", close=True)
+            self.deny(client)
         else:
             asked = client.asked._replace(body=bytes(client.body))
             client.begun, client.waits, client.until = False, True, math.inf
@@ -187,7 +197,7 @@
         try:
             self.reply(client, *m.answer(answer), close=client.ahead)
         except h11.LocalProtocolError:  # an answer that cannot be put in words: the client must not wait on
-            client.writer.close()
+            self.part(client)
             raise
 
     def refuse(self, client: Client, status: int, why: str, close: bool = False) -> None:
@@ -201,66 +211,73 @@
         client.since = self.clock()
         client.until = client.since + IDLE
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            client.writer.close()
-            return
+            return self.part(client)
         headers.append((b"Content-Length", b"%d" % len(body)))
         if close or self.leaving:
             headers.append((b"Connection", b"close"))
         head_only = client.request is not None and client.request.method == b"HEAD"
         response = h11.Response(status_code=status, headers=headers)
         client.writer.write(message(http, response, b"" if head_only else body))
-        if client.ahead or http.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
-            # Closed with bytes unread, the connection would be reset and the answer perhaps never seen.
-            client.rest = client.begun = True
-            client.until = client.since + LINGER
-            client.writer.write_eof()
-        elif http.our_state is h11.MUST_CLOSE:
-            client.writer.close()
-        else:
-            http.start_next_cycle()
-            client.request = client.asked = None
-            client.body.clear()
+        if client.ahead or not again(http):
+            return self.part(client)
+        client.request = client.asked = None
+        client.body.clear()
 
-    def incoming(self) -> bool:
-        """Is a req on its way in? One that just connected is about to say it."""
-        late = self.clock() - MUTE
-        return any(
-            (client.begun and not client.rest) or (client.fresh and not client.waits and client.since > late)
-            for client in self.open.values()
-        )
+    def deny(self, client: Client) -> None:
+        """What is here of its req is not taken."""
+        self.reply(client, 503, [(b"Retry-After", b"1")], b"", close=True)
 
     def idle(self) -> list[Client]:
         """Between reqs, those that have stood longest first. A req that crosses a close on its way is sent
         once more by its client, but the first on a connection would be lost."""
-        idle = [client for client in self.open.values() if client.idle() and not client.fresh]
-        return sorted(idle, key=lambda client: client.since)
+        return sorted((c for c in self.open.values() if c.idle()), key=lambda client: client.since)
 
     def close_idle(self) -> None:
+        """What has arrived, read or not, is still answered. Clients send on whatever stays open, and a req
+        taken later than just after the last accept could be unanswered when the node is killed."""
         for client in self.idle():
-            client.writer.close()
+            if self.quiet(client):
+                self.part(client)
+        if self.clock() >= self.whole_by:
+            for client in [client for client in self.open.values() if not client.waits]:
+                if client.begun:
+                    self.deny(client)
+                elif self.quiet(client):
+                    self.part(client)
 
     def make_room(self) -> bool:
         """Close one connection that has brought no whole req for a while, or else the one longest idle."""
         late = self.clock() - MUTE
-        mute = (c for c in self.open.values() if (c.fresh or c.begun) and not c.waits and c.since < late)
-        first = min(mute, key=lambda client: client.since, default=None) or next(iter(self.idle()), None)
+        mute = sorted((c for c in self.open.values() if c.mute(late)), key=lambda client: client.since)
+        first = next((client for client in [*mute, *self.idle()] if self.quiet(client)), None)
         if first is None:
             return False
-        first.writer.close()
-        del self.open[first.number]
+        if first.begun:
+            self.deny(first)
+        else:
+            self.part(first)
         return True
 
+    def cut_parting(self) -> bool:
+        """Have the descriptor at once of the one that has parted for longest."""
+        first = next((client for client in self.parting.values() if not client.untaken()), None)
+        if first is not None:
+            self.cut(first)
+        return first is not None
+
     def sweep(self) -> None:
         now = self.clock()
-        for client in [client for client in self.open.values() if now > client.until]:
-            if client.begun and not client.rest:
+        for client in [client for client in self.parting.values() if now > client.until]:
+            self.cut(client)
+        for client in [client for client in self.open.values() if now > client.until and self.quiet(client)]:
+            if client.begun:
                 self.refuse(client, 408, "the req did not come whole in time", close=True)
             else:
-                client.writer.transport.abort()
+                self.part(client)
 
     async def finish(self) -> None:
         """Close all, once what is still to be written has gone out."""
-        for client in self.open.values():
-            client.writer.close()
-        while self.open:
+        for client in list(self.open.values()):
+            self.part(client)
+        while self.parting:
             await asyncio.sleep(0.01)
--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -16,11 +16,10 @@
 from onyxpost.edge import messages as m
 from onyxpost.errors import NotListening
 
-Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 class Reader(asyncio.StreamReader):
-    """Counts what came, so that an idle connection shows what nobody asked for."""
+    """Counts what came, so that a resting connection shows what nobody has taken yet."""
 
     came = 0
 
@@ -29,6 +28,9 @@
         super().feed_data(data)
 
 
+Serve = Callable[[Reader, asyncio.StreamWriter], Awaitable[None]]
+
+
 class Line(NamedTuple):
     """A connection that this node opened."""
 
@@ -89,7 +91,13 @@
             listener = _named(socket.create_server(address, backlog=1024))
         except OSError as err:
             raise _not_had(address, err) from err
-        server = await asyncio.start_server(serve, sock=listener, limit=limit, backlog=accepts)
+        loop = asyncio.get_running_loop()
+
+        def accepted() -> asyncio.StreamReaderProtocol:
+            reader = Reader(limit=limit, loop=loop)
+            return asyncio.StreamReaderProtocol(reader, serve, loop=loop)  # type: ignore[arg-type]
+
+        server = await loop.create_server(accepted, sock=listener, backlog=accepts)
         listener.listen(1024)  # asyncio takes as many at once as it lets wait
         return server
 
@@ -111,6 +119,8 @@
 
     def unread(self, transport: asyncio.BaseTransport) -> Unread:
         """Of a connection that was accepted. An end is told again as long as its transport is open."""
+        if transport.is_closing():
+            return Unread.END
         lent = transport.get_extra_info("socket")  # it shows no way to read
         sock = socket.socket(lent.family, lent.type, lent.proto, fileno=lent.fileno())
         try:
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -138,7 +138,7 @@
         await asyncio.sleep(ACCEPT_ON)
         self.enter(Phase.CLOSING)
         await self.clients.take_no_more()
-        while self.reducer.owed or self.clients.incoming():
+        while self.reducer.owed or self.clients.open:
             self.clients.close_idle()
             await asyncio.sleep(0.01)
         await self.clients.finish()
@@ -256,7 +256,8 @@
 
     def held_open(self) -> int:
         fleet = 0 if self.links is None else self.links.descriptors()
-        return len(self.clients.open) + self.servers.links + self.spare() + fleet
+        clients = len(self.clients.open) + len(self.clients.parting)
+        return clients + self.servers.links + self.spare() + fleet
 
     def client_room(self) -> bool:
         """Is there room for one client more? The front opens a third of the descriptors at most, and one that
@@ -269,7 +270,9 @@
         return clients < (descriptors - self.spare()) * 3 // 5 and self.server_room()
 
     def server_room(self) -> bool:
-        return self.held_open() < self.node.descriptors or self.servers.make_room()
+        if self.held_open() < self.node.descriptors:
+            return True
+        return self.clients.cut_parting() or self.servers.make_room()
 
     def sweep(self) -> None:
         self.servers.sweep()
--- a/onyxpost/lab/virtual/network.py
+++ b/onyxpost/lab/virtual/network.py
@@ -73,8 +73,9 @@
         reader = Reader(limit=limit, loop=self.loop)
         protocol = asyncio.StreamReaderProtocol(reader, loop=self.loop)
         near.protocol = protocol
-        far_reader = asyncio.StreamReader(limit=listener.limit, loop=self.loop)
-        far.protocol = asyncio.StreamReaderProtocol(far_reader, listener.serve, loop=self.loop)
+        far_reader = Reader(limit=listener.limit, loop=self.loop)
+        serve: Any = listener.serve
+        far.protocol = asyncio.StreamReaderProtocol(far_reader, serve, loop=self.loop)
         far.protocol.connection_made(far)
         protocol.connection_made(near)
 
