SIGTERM: gone at once during start, none in the queue reset, last closes bounded

Observed, each forced over loopback. While `heard_first` waits for a silent agent nobody looks at `told_to_stop` (`program.run`): up to a drain's grace, then it listened for 0.6 s more. `take_no_more` takes the listener's reader away with connections still in the kernel's queue if more than one turn's 16 stand there: the closed listener resets them, reqs and all. `finish` waited for each parting client up to its linger.

Change: the wait for the agent ends with SIGTERM, and the node is stopped without having listened. Accepting goes on until a few turns bring nobody new (0.1 s at most). Once all is answered, parting clients have 250 ms. A connection in the queue of a listener that is closed anyway, after the last accept, is the kernel's to reset: its req was never read.

--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -21,6 +21,7 @@
 IDLE = 5_000.0  # ms that a connection may stand between reqs
 TURNS = 8  # of the loop: accepted, a transport, its protocol, the task that reads take a turn each
 LINGER = 1_000.0  # ms that a connection is read on after its last answer, until its client closes
+LAST = 250.0  # ms of that left where the node itself ends
 MUTE = 100.0  # ms without a whole req after which a new connection may have to make room
 UNTAKEN = 131_072  # bytes of answers not taken yet with which a client's next req is not read
 BEYOND = 16  # connections past the node's room that are still told so
@@ -46,14 +47,22 @@
         self.server = await self.net.listen(self.serve, address, READ, ACCEPTS)
 
     async def take_no_more(self) -> None:
-        """All that were accepted are among the open ones then; those of this very turn are not yet."""
+        """All that were accepted are among the open ones then; those of this very turn are not yet, and more
+        than one turn's may stand in the queue, whom the listener's end would reset."""
+        before, ends = -1, self.clock() + MUTE
+        while before != self.opened and self.clock() < ends:
+            before = self.opened
+            await self.turns()
         if self.server is not None:
             accept_no_more(self.server)
-        for _ in range(TURNS):
-            await asyncio.sleep(0)
+        await self.turns()
         self.stop_listening()
         self.whole_by = self.clock() + MUTE
 
+    async def turns(self) -> None:
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+
     def stop_listening(self) -> None:
         if self.server is not None:
             self.server.close()
@@ -279,5 +288,10 @@
         """Close all, once what is still to be written has gone out."""
         for client in list(self.open.values()):
             self.part(client)
+        ends = self.clock() + LAST
+        for client in self.parting.values():
+            if not client.untaken():
+                client.until = min(client.until, ends)
         while self.parting:
+            self.sweep()
             await asyncio.sleep(0.01)
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -18,6 +18,7 @@
 from onyxpost.edge.peers import Peers
 from onyxpost.edge.reducer import Reducer
 from onyxpost.edge.servers import Servers
+from onyxpost.edge.stopping import unless
 from onyxpost.errors import Older, Unreadable
 
 if TYPE_CHECKING:
@@ -117,7 +118,9 @@
         if not self.node.deployment.must_ask:
             self.discovery.begin()
         # What its agent holds counts as told from the start on, and the list in the file may be old.
-        await self.discovery.heard_first(self.node.deployment.drain_grace)
+        await unless(told_to_stop, self.discovery.heard_first(self.node.deployment.drain_grace))
+        if told_to_stop.is_set():
+            return self.stopped()
         if self.planners is not None:
             self.planners.begin()
         if self.links is not None and self.node.fleet is not None:
@@ -146,6 +149,9 @@
             await self.planners.leave()
         if self.links is not None:
             await self.links.leave()
+        return self.stopped()
+
+    def stopped(self) -> int:
         self.net.deaf()
         self.shut()
         self.enter(Phase.STOPPED)
