One last look before an attempt's first byte, at client, server, time and repeat window

Servers.run looked only at the server (and at answers already given): an attempt that had waited for its connection was written although its client's end lay unread, although the window in which its repeats are dropped had ended meanwhile, or with no time left. Whether a req's last byte had left was noted only by the task that waited for it: told to stop in that very turn (a time-out, a reset) it took the req for never begun, and one that must not run twice would be sent again (servers.py, Link.ask and run).

Change: Program.may_begin is the one look for first and further attempts; a client found gone is told to the reducer at once. The module says with each attempt by when it must have begun (reqs.begin_before; the repeat rule reads from it). The connection itself says whether all has left (net.Flow).

--- a/onyxpost/edge/messages/values.py
+++ b/onyxpost/edge/messages/values.py
@@ -5,6 +5,7 @@
 import logging
 import traceback
 from enum import Enum
+from math import inf
 from typing import Any, NamedTuple
 
 from onyxpost.interface import ListRow, Result, Rules
@@ -111,6 +112,7 @@
     to: Place
     asked: Asked
     give_up_after: float
+    begin_before: float = inf  # Unix ms: a repeat that begins later might run beside what it repeats
 
 
 class Close(NamedTuple):
--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -31,12 +31,27 @@
 Serve = Callable[[Reader, asyncio.StreamWriter], Awaitable[None]]
 
 
+class Flow(asyncio.StreamReaderProtocol):
+    """With no write buffer wanted, `held` says whether some of what was written has not left."""
+
+    held = False
+
+    def pause_writing(self) -> None:
+        self.held = True
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        self.held = False
+        super().resume_writing()
+
+
 class Line(NamedTuple):
     """A connection that this node opened."""
 
     reader: Reader
     writer: asyncio.StreamWriter
     silent: Callable[[], bool]  # nothing waits on it, neither bytes nor its end, that the loop has not read
+    left: Callable[[], bool]  # the last byte written has left, also if the connection has ended since
 
 
 class Unread(Enum):
@@ -110,12 +125,13 @@
             sock.setblocking(False)
             await loop.sock_connect(sock, address)
             reader = Reader(limit=limit, loop=loop)
-            protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+            protocol = Flow(reader, loop=loop)
             transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
         except BaseException:
             sock.close()
             raise
-        return Line(reader, asyncio.StreamWriter(transport, protocol, reader, loop), lambda: _silent(sock))
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        return Line(reader, writer, lambda: _silent(sock), lambda: not protocol.held)
 
     def unread(self, transport: asyncio.BaseTransport) -> Unread:
         """Of a connection that was accepted. An end is told again as long as its transport is open."""
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -53,7 +53,7 @@
         self.reducer = Reducer(deployment, deployment.gateway(self.now(), node.seed))
         self.clients = Clients(deployment, self.net, self.post, self.ready, self.client_room, self.fault)
         self.servers = Servers(
-            self.net, self.post, self.server_room, self.reducer.wanted, self.fault,
+            self.net, self.post, self.server_room, self.reducer.wanted, self.may_begin, self.fault,
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
         self.discovery = Discovery(
@@ -244,6 +244,16 @@
         if self.planners is not None:
             self.planners.unused(unused)
 
+    # Attempts
+
+    def may_begin(self, send: m.Send) -> bool:
+        """The last look, just before an attempt's first byte: while it waited for its connection its client
+        may have left, its server been told to drain, its time to repeat run out."""
+        if not self.clients.there(send.asked.client):
+            self.post(m.ClientLeft(send.asked.client))
+            return False
+        return self.reducer.wanted(send.to) and self.now() < send.begin_before
+
     # The fleet
 
     def told(self, sender: str, topic: str, body: bytes) -> None:
--- a/onyxpost/edge/reducer.py
+++ b/onyxpost/edge/reducer.py
@@ -173,7 +173,7 @@
 
     # The decider's writer
 
-    def attempt(self, req: str, server: str, give_up_after: float) -> None:
+    def attempt(self, req: str, server: str, give_up_after: float, begin_before: float) -> None:
         self.sent += 1
         held = self.held[req]
         number = len(held.attempts)
@@ -184,7 +184,7 @@
             return
         self.attempts[self.sent] = held, number
         held.out += 1
-        self.effects.append(m.Send(self.sent, self.places[server], held.asked, until))
+        self.effects.append(m.Send(self.sent, self.places[server], held.asked, until, begin_before))
 
     def deny(self, req: str, retry_after: float) -> None:
         if held := self.held.get(req):
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -23,13 +23,18 @@
     """One connection to an app server; one attempt at a time."""
 
     def __init__(self, to: m.Place, line: Line) -> None:
-        self.to, (self.reader, self.writer, self.unread) = to, line
+        self.to, (self.reader, self.writer, self.unread, self.left) = to, line
         self.http = h11.Connection(h11.CLIENT)
-        self.written = False
+        self.asked = False  # a req was written, if not yet to its last byte
         self.since = 0.0
         self.taken = 0
         self.writer.transport.set_write_buffer_limits(0)  # so that drained means written
 
+    def written(self) -> bool:
+        """The req's last byte has left. Asked of the connection, as whoever waits for it to be drained may be
+        told to stop in the very turn in which that happens."""
+        return self.asked and self.left()
+
     def dead(self) -> bool:
         reader = self.reader
         ended = reader.at_eof() or reader.exception() is not None or self.writer.transport.is_closing()
@@ -41,8 +46,8 @@
 
     async def ask(self, request: h11.Request, body: bytes) -> tuple[Result, m.Page | None]:
         self.writer.write(message(self.http, request, body))
+        self.asked = not self.writer.transport.is_closing()  # what the system refused whole never left
         await self.writer.drain()
-        self.written = True
         if self.reader.came > self.taken:
             raise Cut("it spoke before the req's last byte had left")
         response, page = await answered(self.http, self.read, m.BODY_MOST)
@@ -55,18 +60,19 @@
         return data
 
     def reusable(self) -> bool:
-        self.written = False
+        self.asked = False
         return not self.dead() and again(self.http) and not self.http.trailing_data[0]
 
 
 class Servers:
     def __init__(
         self, net: Net, post: Callable[[m.Incoming], None], room: Callable[[], bool],
-        wanted: Callable[[m.Place], bool], fault: Callable[[str, BaseException], None],
-        connect_timeout: float, keep_alive: float,
+        wanted: Callable[[m.Place], bool], may_begin: Callable[[m.Send], bool],
+        fault: Callable[[str, BaseException], None], connect_timeout: float, keep_alive: float,
     ) -> None:  # fmt: skip
         self.net, self.clock = net, net.clock
-        self.post, self.room, self.wanted, self.fault = post, room, wanted, fault
+        self.post, self.room, self.fault = post, room, fault
+        self.wanted, self.may_begin = wanted, may_begin
         self.connect_timeout, self.kept = connect_timeout, KEPT * keep_alive
         self.idle: dict[m.Place, list[Link]] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
@@ -96,20 +102,19 @@
         try:
             async with asyncio.timeout(send.give_up_after / 1000.0):
                 link = self.pooled(send.to) or await self.connect(send.to)
-                # The last look before the first byte: while it connected the list may have changed.
-                if send.attempt in self.withdrawn or not self.wanted(send.to):
+                left = send.give_up_after - (self.clock() - began)
+                if left <= 0.0 or send.attempt in self.withdrawn or not self.may_begin(send):
                     result = Result.UNUSED
                     return
-                left = send.give_up_after - (self.clock() - began)
                 result, page = await link.ask(*m.onward(send.asked, left))
         except TimeoutError:
-            result = Result.EXPIRED if link is not None and link.written else Result.NO_CONNECTION
+            result = Result.EXPIRED if link is not None and link.written() else Result.NO_CONNECTION
         except asyncio.CancelledError:
             result = Result.CANCELLED
         except Exception as err:
             if not isinstance(err, OSError | EOFError | h11.RemoteProtocolError):
                 self.fault("server", err)
-            result = Result.LOST if link is not None and link.written else Result.NO_CONNECTION
+            result = Result.LOST if link is not None and link.written() else Result.NO_CONNECTION
         finally:
             self.tasks.pop(send.attempt, None)
             self.withdrawn.discard(send.attempt)
--- a/onyxpost/lab/nodes.py
+++ b/onyxpost/lab/nodes.py
@@ -309,7 +309,7 @@
 
     # The module's writer
 
-    def attempt(self, req: str, server: str, give_up_after: float) -> None:
+    def attempt(self, req: str, server: str, give_up_after: float, begin_before: float) -> None:
         held = self.held[req]
         number = len(held.flights)
         known = self.known.get(server)
--- a/onyxpost/lab/virtual/network.py
+++ b/onyxpost/lab/virtual/network.py
@@ -82,7 +82,7 @@
         def unread() -> bool:
             return not wire.flying[near] and not near.waiting and not near.lost
 
-        return Line(reader, asyncio.StreamWriter(near, protocol, reader, self.loop), unread)
+        return Line(reader, asyncio.StreamWriter(near, protocol, reader, self.loop), unread, lambda: True)
 
     def die(self, host: str) -> None:
         """Its connections are reset, and nobody listens any more."""
--- a/onyxpost/policy/gateway.py
+++ b/onyxpost/policy/gateway.py
@@ -208,16 +208,16 @@
     # What is sent and answered
 
     def send(self, req: reqs.Req, srv: reqs.Srv) -> None:
+        until = req.leaves - self.now
+        if req.frontend.late_value <= 0.0:
+            until = min(until, max(self.tick, req.due - self.now - 2.0 * self.tick - 2.0))
+        self.writer.attempt(req.id, srv.id, until, req.begin_before())
         d = reqs.Attempt(req, srv, len(req.attempts), self.now)
         req.attempts.append(d)
         srv.out[d] = None
         self.servers.stirred[srv] = None
         req.customer.open += 1
         srv.cold_part = 1.0
-        until = req.leaves - self.now
-        if req.frontend.late_value <= 0.0:
-            until = min(until, max(self.tick, req.due - self.now - 2.0 * self.tick - 2.0))
-        self.writer.attempt(req.id, srv.id, until)
 
     def send_again(self, req: reqs.Req) -> bool:
         """A further attempt within the effect rules, the budget and what is still of use; only elsewhere."""
--- a/onyxpost/policy/reqs.py
+++ b/onyxpost/policy/reqs.py
@@ -56,13 +56,15 @@
     def risky(self) -> Attempt | None:  # the first that may have run
         return next((d for d in self.attempts if d.may_have_run), None)
 
-    def may_repeat(self, now: float, usual: float) -> bool:
-        """A further attempt is within the effect rules and still of use."""
+    def begin_before(self) -> float:  # by the effect rules: repeats are dropped within the window
         f, risky = self.frontend, self.risky()
-        fine = risky is None or f.effect is Effect.REPLAYABLE
-        if f.effect is Effect.KEYED and risky is not None:
-            fine = now < risky.sent + f.repeat_window * 0.95
-        return fine and (f.late_value > 0.0 or now < self.due - usual / 2.0)
+        if risky is None or f.effect is Effect.REPLAYABLE:
+            return float("inf")
+        return risky.sent + f.repeat_window * 0.95 if f.effect is Effect.KEYED else 0.0
+
+    def may_repeat(self, now: float, usual: float) -> bool:  # and it is still of use
+        of_use = self.frontend.late_value > 0.0 or now < self.due - usual / 2.0
+        return of_use and now < self.begin_before()
 
     def harmless(self) -> bool:  # if the client asks again
         f = self.frontend
--- a/onyxpost/simhost/encode.py
+++ b/onyxpost/simhost/encode.py
@@ -17,7 +17,8 @@
     def _put(self, name: str, **fields: Any) -> None:
         self.output.append({name: {"node_id": self.node, **fields}})
 
-    def attempt(self, req: str, server: str, give_up_after: float) -> None:
+    def attempt(self, req: str, server: str, give_up_after: float, begin_before: float) -> None:
+        """There it begins at once."""
         self._put("SubmitTo", ref=req, server=server, give_up_after_us=micros(give_up_after))
 
     def deny(self, req: str, retry_after: float) -> None:
--- a/tests/host.py
+++ b/tests/host.py
@@ -152,7 +152,8 @@
     post: Callable[[m.Incoming], None], connect: float = 250.0,
     wanted: Callable[[m.Place], bool] = lambda place: True,
 ) -> Servers:  # fmt: skip
-    return Servers(still(), post, lambda: True, wanted, print, connect, 15000.0)
+    look = lambda send: wanted(send.to)  # noqa: E731
+    return Servers(still(), post, lambda: True, wanted, look, print, connect, 15000.0)
 
 
 class AppServer:
--- a/tests/planning.py
+++ b/tests/planning.py
@@ -78,7 +78,7 @@
 
     # The module's writer
 
-    def attempt(self, req: str, server: str, give_up_after: float) -> None:
+    def attempt(self, req: str, server: str, give_up_after: float, begin_before: float) -> None:
         self.final = "sent"
 
     def deny(self, req: str, retry_after: float) -> None:
