--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	.ci-venv/bin/python -m pytest
 
 lint: .ci-venv
-	.ci-venv/bin/ruff check onyxpost tests .ci
+	.ci-venv/bin/ruff check onyxpost tests .ci deploy
 	.ci-venv/bin/mypy
 
 demo: build
--- a/deploy/sites/names.py
+++ b/deploy/sites/names.py
@@ -1,7 +1,7 @@
 """Writes real.json and wire.json beside each variant's site file: `python deploy/sites/names.py`.
 
-Names are those of the protocol page and the wire page, which every deployment of this family shares; the tables
-here are written from those pages, in their order.
+Names are those of the protocol page and the wire page, which every deployment of this family shares; the
+tables here are written from those pages.
 """
 
 import json
@@ -75,19 +75,22 @@
     "weight": "scale", "ready_at": "up_since_us",
 }  # fmt: skip
 SETTINGS = {
-    "balancers": "n_instances", "me": "ordinal", "classes": "grades", "tenants": "packages", "limits": "bounds",
-    "goal": "score_parts", "zones": "localities", "kinds": "skus", "tiers": "stages", "tier": "layer",
-    "tick": "quantum", "window": "dedup_window", "late_worth": "late_value", "stream": "streamed",
-    "fields": "names", "ask_within": "must_ask_in", "cold_from": "start_capacity", "max_attempts": "try_limit",
-    "max_open": "open_cap", "cancel": "cancelling", "second_copies": "parallel_tries", "conn_idle": "keepalive",
-    "counter": "shared_counter", "counter_timeout": "count_limit", "peer_in_per_s": "mail_per_s",
-    "tenants.rate": "refill", "tenants.burst": "depth", "tenants.open": "open", "tenants.price": "worth_factor",
-    "tenants.over_worth": "extra_worth", "tenants.over_cost": "excess_cost", "tenants.ceiling_rate": "cap_rate",
+    "balancers": "n_instances", "me": "ordinal", "classes": "grades", "tenants": "packages",
+    "limits": "bounds", "goal": "score_parts", "zones": "localities", "kinds": "skus",
+    "tiers": "stages", "tier": "layer", "tick": "quantum", "window": "dedup_window",
+    "late_worth": "late_value", "stream": "streamed", "fields": "names",
+    "ask_within": "must_ask_in", "cold_from": "start_capacity", "max_attempts": "try_limit",
+    "max_open": "open_cap", "cancel": "cancelling", "second_copies": "parallel_tries",
+    "conn_idle": "keepalive", "counter": "shared_counter", "counter_timeout": "count_limit",
+    "peer_in_per_s": "mail_per_s", "tenants.rate": "refill", "tenants.burst": "depth",
+    "tenants.open": "open", "tenants.price": "worth_factor", "tenants.over_worth": "extra_worth",
+    "tenants.over_cost": "excess_cost", "tenants.ceiling_rate": "cap_rate",
     "tenants.ceiling_burst": "ceiling_burst", "tenants.ceiling_slack": "cap_slack",
 }  # fmt: skip
 WORDS = {
     "safe": "retryable", "keyed": "dedup", "unsafe": "fragile", "push": "pushed", "ask": "on_request",
-    "inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate", "eps": "fail_rate",
+    "inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate",
+    "eps": "fail_rate",
 }  # fmt: skip
 
 
@@ -109,12 +112,14 @@
             "entry": "Row", "all": -1,
         },
         "ids": {
-            "inst": "int", "request": "uuid", "server": "addr", "key": "text", "token": "int", "bytes": "text",
-            "names": True, "inst_prefix": "node_", "request_prefix": "t/", "server_prefix": "server_",
-            "port": 8080, "key_prefix": "acct:", "key2_prefix": "pre-", "salt": sum(name.encode()),
+            "inst": "int", "request": "uuid", "server": "addr", "key": "text", "token": "int",
+            "bytes": "text", "names": True, "inst_prefix": "node_", "request_prefix": "t/",
+            "server_prefix": "server_", "port": 8080, "key_prefix": "acct:", "key2_prefix": "pre-",
+            "salt": sum(name.encode()),
         },
         "init": {"pairs": False, "case": "snake", "unit_suffix": "_us", "rename": SETTINGS, "words": WORDS},
-        "events": messages(EVENTS), "actions": messages(ACTIONS), "entry": [list(pair) for pair in ROW.items()],
+        "events": messages(EVENTS), "actions": messages(ACTIONS),
+        "entry": [list(pair) for pair in ROW.items()],
         "extras": ["units", "spread", "first"],
         "status": {
             "ok": "delivered", "error": "app_error", "full": "shed", "timeout": "expired", "reset": "dropped",
