--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -172,3 +172,14 @@
     (tmp_path / "r.xml").unlink()
     code, lines = run.verdict(None)
     assert (code, lines[0][:24], lines[-1]) == (1, "r.xml: no whole result o", "0 passed, 0 failed")
+
+
+@pytest.mark.parametrize("order", [(0, 1), (1, 0)])
+def test_a_test_that_ran_twice_and_failed_once_has_failed(
+    tmp_path: pathlib.Path, order: tuple[int, int]
+) -> None:
+    run = Run(tmp_path, "def test_well(): pass\n", 0)
+    case = '<testcase classname="tests.deep.test_story" name="test_well">{}</testcase>'
+    cases = [case.format(""), case.format("<failure/>")]
+    (tmp_path / "r.xml").write_text(f"<testsuite>{cases[order[0]]}{cases[order[1]]}{cases[0]}</testsuite>")
+    assert run.verdict(None, status=1)[1][0] == f"failed: {WELL}"
