Planner: grants nothing before a look has found its half, nor on words said before a stop

Cause, by reading and two scripted stories: `Planner.answer` asked `council.many` alone, while `look`, each 50 ms, begins the waiting out of what another version granted. An ask read together with the word that made half was granted at once, and the ledger that remembered it thrown away by the look after. And `first` was once a version and life: a planner that was stopped for longer than words count, and went on, read old words as said now, had its half by them and granted beside the version that its forwarders follow meanwhile.

Change: a half that is lost, seen before each word counts and at each look, is waited out anew when it is back, with reports asked anew; an ask needs a half that a look has found.

--- a/onyxpost/plan/council.py
+++ b/onyxpost/plan/council.py
@@ -3,9 +3,9 @@
 The planners of one membership divide the customers by rendezvous hashing: taking a planner in or out moves
 only its own. A membership has a version, and a planner grants only while more than half of all forwarders
 have lately told it that they follow its version. A forwarder follows one version at a time and never goes
-back, so no two versions can both have more than half; and a planner that comes to have it, at its start or
-after a change, first waits until whatever another may have granted before is over. One that is cut off, or
-late with its file, loses its half and grants nothing, whatever it believes.
+back, so no two versions can both have more than half; and a planner that comes to have it, at its start,
+after a change or a loss, first waits until whatever another may have granted before is over. One that is cut
+off, or late with its file, loses its half and grants nothing, whatever it believes.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
         self.forwarders, self.version = set(forwarders), version
         self.heard: dict[str, float] = {}
         self.since = now  # of this version here
-        self.had = False  # more than half, in this version and life
+        self.had = False  # more than half, in this version and life, without a break since
 
     def follows(self, now: float, forwarder: str, version: int) -> bool:
         """A forwarder tells the version that it follows; does it count?"""
@@ -58,8 +58,16 @@
     def all(self, now: float) -> bool:
         return len(self.heard) == len(self.forwarders) and all(now - a <= HEARD for a in self.heard.values())
 
+    def lost(self, now: float) -> bool:
+        """Has it lost its half since the last look? Words said long ago may still lie unread here or on the
+        way: with them it would seem to have it again, so it begins anew as at its start."""
+        if not self.had or self.many(now):
+            return False
+        self.had = False
+        return True
+
     def first(self, now: float) -> bool:
-        """Has it just come to have more than half, for the first time in this version and life?"""
+        """Has it just come to have more than half, after a start, a change or a loss?"""
         if self.had or not self.many(now):
             return False
         self.had = True
--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -98,6 +98,7 @@
 
     def look(self, now: float) -> None:
         self.ledger.expire(now)
+        self.lapse(now)
         if self.council.first(now):
             # Till a moment ago another version may have had more than half.
             self.ledger.wait_out(now, HEARD * (1.0 + 2.0 * self.node.terms.drift))
@@ -105,17 +106,27 @@
         if now < self.ledger.opens and reported and self.council.all(now):
             self.ledger.learned(now, (hold for holds in self.reports.values() for hold in holds))
             self.log("learned", forwarders=len(self.reports), leases=len(self.ledger.leases))
-        granting = self.council.many(now) and now >= self.ledger.opens
+        granting = self.council.had and now >= self.ledger.opens
         if granting != self.granting:
             self.granting = granting
             self.log("granting" if granting else "granting nothing", heard=len(self.council.heard))
 
+    def lapse(self, now: float) -> None:
+        if self.council.lost(now):
+            self.reports = {}
+
     # Forwarders
 
+    def follows(self, now: float, name: str, version: int) -> bool:
+        """Whether half was lost is seen before this word counts: it may have been said long ago."""
+        self.lapse(now)
+        return self.council.follows(now, name, version)
+
     def greet(self, name: str, hello: w.Hello) -> w.Welcome:
         now, node = self.net.clock(), self.node
+        counts = self.follows(now, name, hello.follows)
         waits = now < self.ledger.opens or not self.council.had
-        if self.council.follows(now, name, hello.follows) and hello.whole and waits:
+        if counts and hello.whole and waits:
             drift = 1.0 + 2.0 * node.terms.drift
             held = [(name, h.customer, h.plan, h.units, now + h.lasts * drift) for h in hello.holds]
             self.reports[name] = held
@@ -154,7 +165,7 @@
         now = self.net.clock()
         match message:
             case w.Follow(version=version):
-                self.council.follows(now, name, version)
+                self.follows(now, name, version)
             case w.Ask():
                 self.say(name, self.answer(now, name, message))
             case w.Used(lease=number, units=units, epoch=epoch):
@@ -174,7 +185,8 @@
             return refuse(500.0, "another version")
         if owner(self.node.members, ask.customer) != self.node.name:
             return refuse(500.0, "not this planner's customer")
-        if not self.council.many(now):
+        # `had`: what another version granted before is not waited out until a look has found the half.
+        if not (self.council.had and self.council.many(now)):
             return refuse(200.0, "less than half follow")
         lease = self.ledger.ask(now, name, ask.customer, ask.plan, ask.units, ask.least)
         if isinstance(lease, Refused):
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,103 @@
+"""Hand-overs in the moment a process ends, moves or is replaced: each pair of events in its orders."""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+from unittest import mock
+
+from onyxpost.interface import Plan
+from onyxpost.lab import virtual
+from onyxpost.plan import wire as w
+from onyxpost.plan.planner import Planner
+from tests.planning import Town
+
+PLAN = Plan("p", 40.0, 60.0, 0, 1.0, 60.0, 80.0)
+OPEN = 5.0  # s: what an earlier life or another version granted is surely over
+
+
+class Talker:
+    """A forwarder whose every word the story says."""
+
+    def __init__(self, town: Town, name: str) -> None:
+        self.town, self.name = town, name
+
+    async def dial(self, *words: w.Message, version: int = 1) -> "Talker":
+        address = self.town.members()["p0"]
+        self.reader, self.writer, _ = await self.town.net.host(self.name).dial(address, 65536)
+        self.say(w.Hello(1, self.name, version), *words)
+        return self
+
+    def say(self, *words: w.Message) -> None:
+        """In one piece: they are read in one turn."""
+        self.writer.write(b"".join(w.frame(word) for word in words))
+
+    async def heard(self) -> list[w.Message]:
+        await asyncio.sleep(0.02)
+        heard = []
+        while self.reader._buffer:  # type: ignore[attr-defined]
+            heard.append(await w.from_planner(self.reader))
+        return [word for word in heard if not isinstance(word, w.Welcome)]
+
+
+def ask(number: int = 1, version: int = 1) -> w.Ask:
+    return w.Ask(number, 7, "p", 3, 1, version)
+
+
+def planned(story: Callable[[Town, Planner], Coroutine[Any, Any, None]], forwarders: int = 4) -> Town:
+    """One planner that started `OPEN` s ago, and nobody who talks to it."""
+
+    async def main() -> Town:
+        town = Town(1, forwarders, 1, PLAN)
+        town.start_planner("p0")
+        planner = town.planners["p0"]
+        assert planner is not None
+        await asyncio.sleep(OPEN)
+        await story(town, planner)
+        town.stop()
+        await asyncio.sleep(0.1)
+        return town
+
+    return virtual.run(main())  # type: ignore[no-any-return]
+
+
+class Planning(unittest.TestCase):
+    def test_an_ask_read_with_the_word_that_makes_half_is_granted_nothing_yet(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            self.others = [await Talker(town, name).dial() for name in ("f0", "f1")]
+            await asyncio.sleep(0.3)
+            last = await Talker(town, "f2").dial(ask())
+            self.assertEqual([type(word) for word in await last.heard()], [w.Refuse])
+            self.assertEqual(planner.ledger.granted, 0)
+
+        planned(story)
+
+    def test_words_said_before_a_stop_make_no_half_after_it(self) -> None:
+        """Read at once after the stop they count as said now, while their senders follow another version."""
+
+        async def story(town: Town, planner: Planner) -> None:
+            talkers = [await Talker(town, f"f{i}").dial() for i in range(4)]
+            for i in range(10):
+                await asyncio.sleep(0.4)
+                for talker in talkers:
+                    talker.say(w.Follow(1), *([ask(i)] if i == 9 else []))
+            granted = [await talker.heard() for talker in talkers]
+            self.assertEqual({type(word) for words in granted for word in words}, {w.Grant})
+            with mock.patch.object(planner, "look"):  # stopped: it neither reads nor looks
+                for writer in planner.writers.values():
+                    writer.transport.pause_reading()  # type: ignore[attr-defined]
+                for talker in talkers[1:]:
+                    talker.say(w.Follow(1))
+                await asyncio.sleep(5.0)
+                talkers[0].say(w.Follow(1), ask(11))
+                await asyncio.sleep(0.1)
+                for name in ("f1", "f2", "f3", "f0"):
+                    planner.writers[name].transport.resume_reading()  # type: ignore[attr-defined]
+                self.assertEqual([type(word) for word in await talkers[0].heard()], [w.Refuse])
+            for i in range(12):  # with words that are new it grants again, after its wait
+                await asyncio.sleep(0.4)
+                for talker in talkers:
+                    talker.say(w.Follow(1), *([ask(12)] if i == 11 else []))
+            self.assertEqual([type(word) for word in await talkers[0].heard()], [w.Grant])
+
+        planned(story)
