Planner told to end: no fault for connections that are open, and SIGHUP finds no closed loop

Cause, seen on loopback: at the end `asyncio.run` cancels what serves open connections, and asyncio's own callback takes a cancelled one for a fault (a traceback on standard error each). `Planner.run` never made the process deaf to SIGHUP as an edge node does: one between the loop's end and the process's would raise in the signal's handler. Ruled out: a connection accepted in the turn in which the listener closes; asyncio drops it without a word outside its debug mode, and the forwarder dials again.

Change: as in `Links.serve`, a cancelled one ends quietly; `deaf` before the connections are closed.

The test of eight turns fails without each of the two.

--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -53,6 +53,7 @@
         await told_to_stop.wait()
         self.lines.write(self.net.clock(), "phase", {"phase": "stopped", **self.ledger.figures()})
         beating.cancel()
+        self.net.deaf()
         self.close()
         return 0
 
@@ -155,7 +156,7 @@
                 # Read late from a replaced connection: what became of leases is as true as ever.
                 if self.writers.get(name) is writer or isinstance(message, w.Used | w.Back):
                     self.take(name, message)
-        except (OSError, EOFError, w.Malformed) as err:
+        except (OSError, EOFError, w.Malformed, asyncio.CancelledError) as err:
             if isinstance(err, w.Malformed):
                 self.log("connection ended", logging.WARNING, forwarder=name, **err.fields())
         finally:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -1,17 +1,24 @@
 """Hand-overs in the moment a process ends, moves or is replaced: each pair of events in its orders."""
 
 import asyncio
+import io
+import socket
 import unittest
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
+from onyxpost.edge.log import Lines
+from onyxpost.edge.net import Sockets
 from onyxpost.interface import Plan
 from onyxpost.lab import virtual
 from onyxpost.plan import wire as w
 from onyxpost.plan.planner import Planner
 from tests.planning import Town
 
+Faults = list[dict[str, Any]]
+
 PLAN = Plan("p", 40.0, 60.0, 0, 1.0, 60.0, 80.0)
 OPEN = 5.0  # s: what an earlier life or another version granted is surely over
 
@@ -53,6 +60,18 @@
     return w.Ask(number, 7, "p", 3, 1, version)
 
 
+class Told(Sockets):
+    """Loopback; the test says when the process is told to end."""
+
+    hears = True
+
+    def signals(self, stop: Callable[[], None], reread: Callable[[], None]) -> None:
+        self.stop = stop
+
+    def deaf(self) -> None:
+        self.hears = False
+
+
 def planned(story: Callable[[Town, Planner], Coroutine[Any, Any, None]], forwarders: int = 4) -> Town:
     """One planner that started `OPEN` s ago, and nobody who talks to it."""
 
@@ -148,3 +167,32 @@
             self.assertEqual((planner.ledger.granted, len(planner.writers)), (0, 3))
 
         planned(story)
+
+    def test_told_to_end_at_any_turn_of_a_connections_beginning_it_ends_without_a_fault(self) -> None:
+        for turns in range(8):
+            faults: Faults = []
+
+            async def main(turns: int = turns, faults: Faults = faults) -> None:
+                loop, net = asyncio.get_running_loop(), Told()
+                loop.set_exception_handler(lambda _, context: faults.append(context))
+                town = Town(1, 1, 1, PLAN)
+                node = replace(town.file("p0"), listen=("127.0.0.1", 0))
+                planner = Planner(node, Lines("p0", out=io.StringIO()), lambda: node, net, "e")
+                running = loop.create_task(planner.run())
+                while planner.listener is None:
+                    await asyncio.sleep(0)
+                at = planner.listener.sockets[0].getsockname()
+                reader, self.writer, _ = await net.dial(at, 65536)
+                self.writer.write(w.frame(w.Hello(1, "f0", 1)))
+                self.assertIsInstance(await w.from_planner(reader), w.Welcome)
+                self.late = socket.create_connection(at)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                net.stop()
+                self.addCleanup(self.late.close)
+                self.code, self.net = await running, net
+
+            with self.subTest(turns=turns):
+                asyncio.run(main())
+                self.assertEqual((self.code, faults), (0, []))
+                self.assertFalse(self.net.hears)  # a SIGHUP from here on would find no loop
