Forwarder told to end: all leases go back, a grant on its way too, and the last words are heard

Cause, by reading and stories in every order: `Book.leave` gave all back, and the next beat asked for new leases at once, as the customers seen here lack units then; they were granted and lost until their end. A grant on its way in that moment was held and never given back. And a SIGHUP or a redial in that time dialled anew.

Change: from `leave` on nothing is asked for, a grant goes back whole, no membership is followed, nobody dialled; then it stops sending, reads on until the planners end, 0.2 s at most.

--- a/onyxpost/forward/book.py
+++ b/onyxpost/forward/book.py
@@ -63,6 +63,7 @@
         self.lasts: dict[str, float] = {}
         self.numbers = self.takes = 0
         self.said_at = -math.inf
+        self.leaving = False
         self.out: list[tuple[str, w.Message]] = []
         self.news: list[Granted | Withdrawn] = []
         self.granted = self.spent = self.unused = self.refused = self.ignored = 0
@@ -136,11 +137,11 @@
         key = (grant.epoch, grant.lease)
         ends = asked_at + self.lasts.get(planner, 0.0) - EARLY
         good = asked_of == planner and customer == grant.customer and self.epochs.get(planner) == grant.epoch
-        if not good or key in self.known or ends <= now or grant.units <= 0:
+        if not good or key in self.known or ends <= now or grant.units <= 0 or self.leaving:
             self.ignored += 1
             if good and key not in self.known and self.epochs.get(planner) == grant.epoch:
                 self.known[key] = now + 60_000.0, 0
-                self.out.append((planner, w.Back(grant.lease, grant.units, grant.epoch)))  # too late to use
+                self.out.append((planner, w.Back(grant.lease, grant.units, grant.epoch)))  # too late
             return
         self.takes += 1
         self.known[key] = now + 60_000.0, self.takes
@@ -157,7 +158,7 @@
         return sum(h.left for h in self.held.values() if h.customer == customer and h.ends > now)
 
     def want(self, now: float, customer: int, use: Use) -> None:
-        if not self.planners or now < use.not_before or now - use.asked_at < PATIENT:
+        if self.leaving or not self.planners or now < use.not_before or now - use.asked_at < PATIENT:
             return
         planner = owner(self.planners, customer)
         lasts = self.lasts.get(planner)
@@ -197,9 +198,14 @@
             self.out.append((held.planner, message))
 
     def leave(self, now: float) -> None:
-        """SIGTERM: all that is held goes back."""
+        """SIGTERM: all that is held goes back, as does what is granted from now on; no more is asked for."""
+        self.leaving = True
         self.news += [Withdrawn(held.customer, own) for own, held in self.held.items()]
 
+    def settled(self) -> bool:
+        """Nothing is held, and no answer is on its way."""
+        return not self.held and not any(planner in self.epochs for _, _, planner in self.asks.values())
+
     def change(self, now: float, planners: Sequence[str], version: int) -> None:
         """Another membership: never an older one. What is held may be used until its end."""
         if version > self.version:
--- a/onyxpost/forward/client.py
+++ b/onyxpost/forward/client.py
@@ -21,6 +21,7 @@
 AGAIN = 0.2  # s before a planner that is not there is tried again
 CONNECT = 1.0  # s for a connection and its welcome
 FIGURES = 10.0  # s between lines of figures
+LINGER = 0.2  # s for planners to read the last words, and end
 
 
 class Planners:
@@ -33,7 +34,7 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.writers: dict[str, asyncio.StreamWriter] = {}
         self.beating: asyncio.Task[None] | None = None
-        self.left = False
+        self.left = self.said_all = False
 
     def begin(self) -> None:
         self.beating = asyncio.get_running_loop().create_task(self.beat())
@@ -53,7 +54,7 @@
         out, news = self.book.taken()
         for planner, message in out:
             writer = self.writers.get(planner)
-            if writer is None:
+            if writer is None or self.said_all:
                 continue
             writer.write(w.frame(message))
             if not room(writer, 0):
@@ -80,7 +81,7 @@
 
         def ended(err: Exception | None) -> float:
             nonlocal quiet
-            if err is not None and not quiet:
+            if err is not None and not quiet and not self.left:
                 lost = err if isinstance(err, w.Malformed) else PlannerLost(f"{type(err).__name__}: {err}")
                 self.log(m.Log("planner lost", {"planner": name, **lost.fields()}, logging.WARNING))
             quiet = name not in self.book.epochs
@@ -92,6 +93,8 @@
         return asyncio.get_running_loop().create_task(staying)
 
     async def with_one(self, name: str) -> None:
+        if self.left:
+            return
         async with asyncio.timeout(CONNECT):
             reader, writer, _ = await self.net.dial(self.members[name], READ)
         try:
@@ -112,7 +115,7 @@
 
     def move(self, members: dict[str, m.Address], version: int) -> bool:
         """Another membership by SIGHUP: only a later version is followed."""
-        if version <= self.book.version:
+        if version <= self.book.version or self.left:
             return False
         for name in [n for n in self.tasks if members.get(n) != self.members.get(n)]:
             self.tasks.pop(name).cancel()
@@ -126,18 +129,24 @@
         return True
 
     async def leave(self) -> None:
-        """All leases go back, and are on their way before the connections end."""
+        """All leases go back, and are heard: closed over unread bytes, as of a grant, the connection
+        would be reset and the last words go with it."""
+        self.left = True
         self.book.leave(self.net.clock())
         self.deliver()
         for _ in range(10):
-            if not self.book.held:
+            if self.book.settled():
                 break
             await asyncio.sleep(0.01)
         self.deliver()
+        self.said_all = True
         for writer in self.writers.values():
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(0.2):
-                    await writer.drain()
+            with contextlib.suppress(OSError):
+                writer.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER):
+                while self.writers:
+                    await asyncio.sleep(0.01)
 
     def close(self) -> None:
         for task in [self.beating, *self.tasks.values()]:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -1,6 +1,7 @@
 """Hand-overs in the moment a process ends, moves or is replaced: each pair of events in its orders."""
 
 import asyncio
+import contextlib
 import io
 import socket
 import unittest
@@ -9,8 +10,11 @@
 from typing import Any
 from unittest import mock
 
+from onyxpost.edge import messages as m
 from onyxpost.edge.log import Lines
 from onyxpost.edge.net import Sockets
+from onyxpost.forward.book import Held
+from onyxpost.forward.client import Planners
 from onyxpost.interface import Plan
 from onyxpost.lab import virtual
 from onyxpost.plan import wire as w
@@ -72,6 +76,13 @@
         self.hears = False
 
 
+def small(listening: socket.socket) -> socket.socket:
+    """Takes little before it reads: the rest waits at the other side's system."""
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listening.setblocking(False)
+    return listening
+
+
 def planned(story: Callable[[Town, Planner], Coroutine[Any, Any, None]], forwarders: int = 4) -> Town:
     """One planner that started `OPEN` s ago, and nobody who talks to it."""
 
@@ -196,3 +207,88 @@
                 asyncio.run(main())
                 self.assertEqual((self.code, faults), (0, []))
                 self.assertFalse(self.net.hears)  # a SIGHUP from here on would find no loop
+
+
+class Forwarding(unittest.TestCase):
+    def test_one_that_leaves_asks_for_nothing_more_and_a_grant_on_its_way_goes_back(self) -> None:
+        for turns in (0, 1, 3):  # of 0.4 ms: the ask is on its way, or its grant, or here
+
+            async def main(turns: int = turns) -> None:
+                town = Town(1, 3, 1, PLAN)
+                town.net.delay = lambda here, there: 0.0008  # type: ignore[method-assign]
+                town.start()
+                await asyncio.sleep(OPEN)
+                leaver, planner = town.forwarders[0], town.planners["p0"]
+                assert planner is not None
+                for _ in range(20):
+                    leaver.ask("c", 1)
+                    await asyncio.sleep(0.05)
+                self.assertTrue(leaver.client.book.held)
+                leaver.ask("other", 2)
+                await asyncio.sleep(0.0004 * turns)
+                await leaver.client.leave()
+                leaver.kill()
+                await asyncio.sleep(0.1)
+                out = [lease for lease in planner.ledger.leases.values() if lease.forwarder == leaver.name]
+                self.assertEqual(out, [])
+                town.stop()
+
+            with self.subTest(turns=turns):
+                virtual.run(main())
+
+    def test_the_last_words_of_one_that_leaves_are_heard_though_a_planner_speaks_just_then(self) -> None:
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            with small(socket.create_server(("127.0.0.1", 0))) as listening:
+                members = {"p0": listening.getsockname()}
+                client = Planners(Sockets(), "f0", members, 1, lambda item: back(item), lambda log: None)
+
+                def back(item: Any) -> None:
+                    client.unused(m.Unused(item.lease, 1))
+
+                client.begin()
+                sock, _ = await loop.sock_accept(listening)
+                await loop.sock_recv(sock, 4096)
+                await loop.sock_sendall(sock, w.frame(w.Welcome(1, "p0", "e", 1, 2000.0)))
+                while not client.writers:
+                    await asyncio.sleep(0)
+                for own in range(1, 1001):
+                    client.book.held[own] = Held("p0", "e", w.Grant(1, own, 7, "p", 1, "e"), 1e18)
+
+                async def end() -> None:
+                    await client.leave()
+                    client.close()
+
+                ending = loop.create_task(end())
+                for _ in range(50):  # all that it does before it waits for anything
+                    await asyncio.sleep(0)
+                heard = asyncio.StreamReader(limit=1 << 20)
+                with contextlib.suppress(ConnectionResetError, BrokenPipeError):
+                    sock.sendall(w.frame(w.Withdraw(5000, "e")))
+                    while data := await loop.sock_recv(sock, 65536):
+                        heard.feed_data(data)
+                heard.feed_eof()
+                sock.close()
+                await ending
+                backs = 0
+                with contextlib.suppress(EOFError):
+                    while True:
+                        backs += isinstance(await w.from_forwarder(heard), w.Back)
+                self.assertEqual(backs, 1000)
+
+        asyncio.run(main())
+
+    def test_one_that_leaves_follows_no_membership_and_dials_nobody(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            client = Planners(town.net.host("f0"), "f0", town.members(), 1, lambda _: None, lambda _: None)
+            client.begin()
+            await asyncio.sleep(1.0)
+            leaving = asyncio.ensure_future(client.leave())
+            await asyncio.sleep(0.0)
+            self.assertFalse(client.move({**town.members(), "p1": town.members()["p0"]}, 2))
+            await leaving
+            await asyncio.sleep(1.0)  # longer than a redial waits
+            self.assertEqual((planner.writers, len(town.net.wires["f0"])), ({}, 1))
+            client.close()
+
+        planned(story)
