Forwarder: one connection a planner after a SIGHUP in the start; asks cut off are asked anew

Cause, by reading and stories: `Planners.begin` began a connection to each planner also where a SIGHUP during the start (while discovery is waited for) had begun one: two tasks of one name, each cut by the planner for the other, 16 dials in 3 s and never an end. `Book.connected` was to ask anew what an earlier connection had left unanswered, but `lost` had taken away the life that it compares: after each reconnect customers waited for half a second.

Change: `begin` begins only what is not there; what was asked is asked anew on any new connection.

Both tests fail without it.

--- a/onyxpost/forward/book.py
+++ b/onyxpost/forward/book.py
@@ -94,12 +94,10 @@
     # What planners say
 
     def connected(self, now: float, planner: str, welcome: w.Welcome) -> None:
-        before = self.epochs.get(planner)
         self.epochs[planner], self.lasts[planner] = welcome.epoch, welcome.lasts
-        if before is not None and before != welcome.epoch:
-            for customer, _, asked in list(self.asks.values()):
-                if asked == planner and customer in self.uses:
-                    self.uses[customer].asked_at = -math.inf
+        for customer, _, asked in self.asks.values():  # their answers were lost with the connection before
+            if asked == planner and customer in self.uses:
+                self.uses[customer].asked_at = -math.inf
         self.asks = {number: ask for number, ask in self.asks.items() if ask[2] != planner}
 
     def hello(self, now: float) -> w.Hello:
--- a/onyxpost/forward/client.py
+++ b/onyxpost/forward/client.py
@@ -39,7 +39,8 @@
     def begin(self) -> None:
         self.beating = asyncio.get_running_loop().create_task(self.beat())
         for name in self.members:
-            self.tasks[name] = self.stay_with(name)
+            if name not in self.tasks:  # a SIGHUP during the start has begun some
+                self.tasks[name] = self.stay_with(name)
 
     def spend(self, spent: m.Spend) -> None:
         self.book.spend(self.net.clock(), *spent)
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -13,7 +13,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge.log import Lines
 from onyxpost.edge.net import Sockets
-from onyxpost.forward.book import Held
+from onyxpost.forward.book import Book, Held
 from onyxpost.forward.client import Planners
 from onyxpost.interface import Plan
 from onyxpost.lab import virtual
@@ -278,6 +278,18 @@
 
         asyncio.run(main())
 
+    def test_a_reload_during_the_start_leaves_one_connection_to_each_planner(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            client = Planners(town.net.host("f0"), "f0", town.members(), 1, lambda _: None, lambda _: None)
+            client.move(town.members(), 2)
+            client.begin()
+            await asyncio.sleep(3.0)
+            wires = [wire for wire in town.net.wires["f0"] if not wire.ends[0].lost]
+            self.assertEqual((len(wires), len(town.net.wires["f0"])), (1, 1))
+            client.close()
+
+        planned(story)
+
     def test_one_that_leaves_follows_no_membership_and_dials_nobody(self) -> None:
         async def story(town: Town, planner: Planner) -> None:
             client = Planners(town.net.host("f0"), "f0", town.members(), 1, lambda _: None, lambda _: None)
@@ -292,3 +304,11 @@
             client.close()
 
         planned(story)
+
+    def test_what_was_asked_on_a_connection_that_ended_is_asked_anew_on_the_next(self) -> None:
+        book = Book("f", ["p0"], 1)
+        for life in ("e1", "e1", "e2"):
+            book.connected(100.0, "p0", w.Welcome(1, "p0", life, 1, 2000.0))
+            book.spend(100.0, 7, "p", 3, 0)
+            self.assertEqual([type(word) for _, word in book.taken()[0]], [w.Ask])
+            book.lost("p0")
