Links of a node told to end: the others read all that was sent; it dials and follows nobody more

Cause, seen on loopback: `Links.leave` waited for the stream's buffer alone and closed. A SIGHUP in that time began new dials, and a link that ended was dialled again.

Change: a link that ends stops sending and reads on until the other side has read all and ends, 0.2 s at most, as before in all; what comes meanwhile is thrown away. No membership is followed, nobody dialled. `Link` has a file of its own.

--- a/onyxpost/fleet/links.py
+++ b/onyxpost/fleet/links.py
@@ -17,7 +17,8 @@
 from onyxpost.edge.net import Listener, Net
 from onyxpost.fleet import talk as t
 from onyxpost.fleet.errors import FleetError, MalformedFrame, OtherName, SilentLink, WrongDialler
-from onyxpost.fleet.frames import frame, put, read
+from onyxpost.fleet.frames import frame, read
+from onyxpost.fleet.link import Link
 from onyxpost.fleet.liveness import CUT, Peer, State
 from onyxpost.fleet.membership import Membership, moved, newer
 from onyxpost.fleet.redial import Waits, stay
@@ -26,27 +27,11 @@
 TICK = 0.1  # s between looks at the peers: a fifth of a beat
 CONNECT = 1.0  # s for a connection, and for the other side's hello on it
 FIGURES = 10.0  # s between lines of figures
-DRAIN = 0.2  # s for what is on its way when leaving
+LINGER = 0.2  # s for the others to read what was sent to them, and end, when leaving
 LIMIT, ACCEPTS = 65536, 128
 WAITING_MOST = 64  # connections that have not said who they are; one more ends the oldest
 
 
-class Link:
-    """A connection whose other side has said who it is."""
-
-    def __init__(self, hello: t.Hello, writer: asyncio.StreamWriter) -> None:
-        self.name, self.life, self.version = hello.name, hello.life, hello.version
-        self.writer, self.why = writer, ""
-
-    def put(self, data: bytes) -> bool:
-        return put(self.writer, data)
-
-    def cut(self, why: str) -> None:
-        self.why = self.why or why
-        with contextlib.suppress(OSError):
-            self.writer.transport.abort()
-
-
 class Links:
     """`heard(sender, topic, body)` is called for each message of a topic in `topics`; others are dropped."""
 
@@ -96,9 +81,9 @@
         return link.life if (link := self.links.get(name)) else ""
 
     def move(self, membership: Membership) -> bool:
-        """Another membership, as by SIGHUP: only a later version is followed."""
+        """Another membership, as by SIGHUP: only a later version is followed, and none by one that leaves."""
         try:
-            if not newer(self.membership, membership):
+            if self.left or not newer(self.membership, membership):
                 return False
         except FleetError as err:
             self.telling.membership_refused(err)
@@ -115,18 +100,18 @@
         return True
 
     async def leave(self) -> None:
-        """What was sent is on its way before the connections end."""
+        """What was sent is heard before the connections end. Closed over unread bytes, or with some that come
+        just then, a connection would be reset, and what the system still holds would go with it."""
         self.left = self.telling.quiet = True
-        links = list(self.links.values())
         for name in self.dials.keys() - self.links.keys():
-            self.dials[name].cancel()  # the others' end links: not before what was sent is on its way
-        for link in links:
-            link.why = "this node leaves"
-            link.writer.transport.set_write_buffer_limits(0)  # `drain` is to wait for all
+            self.dials[name].cancel()
+        for link in self.links.values():
+            link.end("this node leaves")
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN):
-                await asyncio.gather(*(link.writer.drain() for link in links), return_exceptions=True)
-        for link in links:
+            async with asyncio.timeout(LINGER):
+                while self.links:
+                    await asyncio.sleep(0.01)
+        for link in self.links.values():
             link.writer.close()
         for task in self.dials.values():
             task.cancel()
@@ -193,6 +178,8 @@
     # Connections
 
     async def dial(self, name: str) -> None:
+        if self.left:
+            return
         self.dialled += 1
         number = self.dialled
         async with asyncio.timeout(CONNECT):
@@ -278,7 +265,7 @@
                 self.telling.change(peer.ended(self.net.clock(), link.why or "ended"))
 
     def take(self, link: Link, peer: Peer, said: t.Hello | t.Ping | t.Pong | t.Word) -> None:
-        if self.links.get(link.name) is not link:
+        if self.links.get(link.name) is not link or link.ended:
             return  # read from a connection that is over
         now = self.net.clock()
         peer.heard(now)
