Links: nothing is heard after the close, and a connection ended for room replaces no link

Cause, by reading and two stories: a word that the loop had read in the turn in which the links closed was still handed on, to a part that is closed before them: a voter would have written to its closed file, whose number may be another's by then. A waiting connection that was ended to make room, its hello read in that turn, became a dead link in place of the good one.

Change: `close` forgets the links at once; after the hello the connection is looked at once more.

Both tests fail without it.

--- a/onyxpost/fleet/links.py
+++ b/onyxpost/fleet/links.py
@@ -123,8 +123,8 @@
         for task in [self.beating, *self.dials.values()]:
             if task is not None:
                 task.cancel()
-        for link in list(self.links.values()):
-            link.cut("closed")
+        for name in list(self.links):
+            self.links.pop(name).cut("closed")  # nothing is heard any more, though it may have been read
         for writer in list(self.waiting):
             writer.transport.abort()
 
@@ -224,7 +224,7 @@
         try:
             async with asyncio.timeout(CONNECT):
                 hello = await self.greeted(reader)
-            if self.left:
+            if self.left or writer.transport.is_closing():  # perhaps ended for room with its hello unread
                 return
             if hello.name > self.name:
                 raise WrongDialler(f"{self.name} dials, the lower name", hello.name)
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -360,6 +360,17 @@
 
         asyncio.run(main())
 
+    def test_a_word_that_is_here_when_the_links_close_is_not_heard(self) -> None:
+        """Its part is closed by then: a voter would write to a file that is closed."""
+
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n1"]
+            links.links["n0"].writer.transport.came(frame(t.Word("t", b"late")))  # type: ignore[attr-defined]
+            links.close()
+            await asyncio.sleep(0.1)
+
+        self.assertEqual(play(story).heard, [])
+
     def test_one_that_leaves_follows_no_membership_and_dials_nobody(self) -> None:
         async def story(fleet: Fleet) -> None:
             links, other = fleet.links["n0"], fleet.links["n1"]
@@ -375,6 +386,21 @@
 
         play(story)
 
+    def test_a_connection_ended_for_room_in_the_turn_of_its_hello_replaces_no_link(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n1"]
+            life = links.life_of("n0")
+            line = await fleet.net.host("stranger").dial(address("n1"), 65536)
+            await asyncio.sleep(0.01)
+            (writer,) = links.waiting
+            writer.transport.came(frame(t.Hello(1, "n0", "9999-s", "n1", 1, 1)))  # type: ignore[attr-defined]
+            writer.transport.abort()
+            await asyncio.sleep(0.1)
+            self.assertEqual((links.life_of("n0"), links.standing("n0")), (life, State.LIVE))
+            line.writer.close()
+
+        play(story)
+
     def test_a_hello_and_a_membership_without_its_sender_in_one_turn_leave_no_link(self) -> None:
         for hello_first in (True, False):
 
