Duties: a word of another version of the voters has its line, one a sender and second

And lines about dropped words were counted by duty and text, which their sender chooses: no bound a sender.

Change: `Table.take` notes it, the words are taken as before; dropped words have one line a sender and second.

The test fails without it: 20 lines, one a duty, about another matter and none about versions.

--- a/onyxpost/duties/service.py
+++ b/onyxpost/duties/service.py
@@ -111,7 +111,7 @@
     def heard(self, sender: str, body: bytes) -> None:
         self.counts["heard"] += 1
         try:
-            self.carry(self.table.take(self.net.clock(), sender, body))
+            self.carry(self.table.take(self.net.clock(), sender, body), sender)
         except WordMalformed as err:
             self.note(f"malformed/{sender}", "duty word dropped", err.fields())
 
@@ -130,7 +130,8 @@
 
     # Effects
 
-    def carry(self, effects: list[e.Effect]) -> None:
+    def carry(self, effects: list[e.Effect], sender: str = "") -> None:
+        """`sender`: of the word that they come from."""
         for effect in effects:
             match effect:
                 case e.Say():
@@ -144,7 +145,8 @@
                     self.changed(effect)
                 case e.Note():
                     said = {"duty": effect.duty, "act": effect.act, "why": effect.why, "fence": effect.number}
-                    self.note(f"{effect.duty}/{effect.act}/{effect.why}", "duty", said)
+                    kind = f"dropped/{sender}" if effect.act == "dropped" else f"{effect.duty}/{effect.why}"
+                    self.note(kind, "duty", said)
 
     def keep(self, word: e.Word) -> bool:
         try:
--- a/onyxpost/duties/table.py
+++ b/onyxpost/duties/table.py
@@ -53,7 +53,11 @@
         word = w.decode(body, sender)
         if word.duty not in self.seats:
             return [Note(word.duty, "dropped", f"no such duty here, from {sender}")]
-        return self.here(now, self.hand(now, sender, word))
+        notes: list[Effect] = []
+        if word.version != (here := self.voters_now.version):  # a voter says so to who asks; it is of no use
+            why = f"voters of version {word.version}, here {here}, from {sender}"
+            notes.append(Note(word.duty, "dropped", why))
+        return notes + self.here(now, self.hand(now, sender, word))
 
     def hand(self, now: float, sender: str, word: w.AnyWord) -> list[Effect]:
         done: list[Effect] = []
--- a/tests/duties/test_crossings.py
+++ b/tests/duties/test_crossings.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from onyxpost.duties import messages as w
+from onyxpost.duties.ballots import NOBODY
 from onyxpost.duties.candidate import Phase
 from onyxpost.lab import virtual
 from onyxpost.lab.explore.town import Town
@@ -34,3 +36,30 @@
 
             with self.subTest(phase=phase):
                 virtual.run(main())
+
+
+class Moves(unittest.TestCase):
+    def test_words_of_another_version_have_a_line_a_sender_and_change_nothing(self) -> None:
+        """As while a file with other voters is brought to one node after the other."""
+
+        async def main() -> None:
+            town = Town(1, 5, duties=20)
+            await town.start()
+            await asyncio.sleep(5.0)
+            duties = town.nodes["n00"].duties
+            before = duties.table.held(duties.net.clock())
+            for duty in town.given.names:
+                for word in (
+                    w.Look(duty=duty, version=2, asked=1),
+                    w.Release(duty=duty, version=3, ballot=NOBODY, held=True),
+                    w.Learn(duty=duty, version=4, asked=1),
+                ):
+                    duties.heard("n01", w.encode(word))
+            self.assertEqual(duties.table.held(duties.net.clock()), before)
+            logs = [log for _, name, log in town.logs if name == "n00" and log.event == "duty"]
+            lines = [log.fields for log in logs if log.fields["act"] == "dropped"]
+            self.assertEqual(len(lines), 1)
+            self.assertEqual(lines[0]["why"], "voters of version 2, here 1, from n01")
+            await town.close()
+
+        virtual.run(main())
