Duties: a watcher that fails ends neither the loop of all duties nor the handing on

Cause, seen by a story: what a part's watcher raised as its duty was lost came out of `Duties.beat`, whose task ended without a line: no renewal, no look, no vote's beat for any duty of that node from then on, and the release that follows in the same list was never said. (On a word from a peer the links caught it.)

Change: it is logged as a fault of that duty and the rest goes on.

The test fails without it (no task is left). Beside it, a pair that was right: a write whose last answer comes at the very end of the lease is not confirmed, one ms before it is.

--- a/onyxpost/duties/service.py
+++ b/onyxpost/duties/service.py
@@ -175,7 +175,10 @@
                 if holder is not None and holder.record.seq == effect.seq:
                     self.tell(duty, "wrote", effect.fence, **self.said(holder.record))
         if duty in self.watching:
-            self.watching[duty](effect)
+            try:
+                self.watching[duty](effect)
+            except Exception as err:  # neither the loop of all duties nor what follows ends by it
+                self.log(m.fault(f"duty {duty}", err))
 
     def said(self, record: w.Record) -> dict[str, object]:
         return {"number": record.seq, "record": record.body[:100].decode("utf-8", "replace")}
--- a/tests/duties/test_crossings.py
+++ b/tests/duties/test_crossings.py
@@ -3,9 +3,13 @@
 import asyncio
 import unittest
 
+from onyxpost.duties import effects as e
 from onyxpost.duties import messages as w
-from onyxpost.duties.ballots import NOBODY
-from onyxpost.duties.candidate import Phase
+from onyxpost.duties.ballots import NOBODY, Ballot
+from onyxpost.duties.candidate import Phase, Taken
+from onyxpost.duties.holder import Holder
+from onyxpost.duties.membership import Voters
+from onyxpost.duties.terms import Terms
 from onyxpost.lab import virtual
 from onyxpost.lab.explore.town import Town
 
@@ -63,3 +67,39 @@
             await town.close()
 
         virtual.run(main())
+
+
+class Losses(unittest.TestCase):
+    def test_a_watcher_that_fails_as_a_duty_is_lost_ends_neither_the_loop_nor_the_handing_on(self) -> None:
+        async def main() -> None:
+            town = Town(1, 5)
+            await town.start()
+            await asyncio.sleep(5.0)
+            holder = town.holders("d0")[0]
+            one = town.nodes[holder]
+            one.duties.watch("d0", lambda told: print(1 // 0))
+            town.part(holder)
+            await town.until_held("d0", other_than=holder)
+            town.cut.clear()
+            await asyncio.sleep(1.0)
+            self.assertTrue(one.duties.tasks)
+            self.assertIn("fault", [log.event for _, name, log in town.logs if name == holder])
+            await town.close()
+
+        virtual.run(main())
+
+    def test_a_write_whose_last_answer_comes_at_the_end_of_the_lease_is_not_confirmed(self) -> None:
+        voters, ballot = Voters(1, ("n0", "n1", "n2")), Ballot(5, "n0", 1)
+        for at, confirmed in ((1999.0, True), (2000.0, False), (2001.0, False)):
+            taken = Taken(ballot, w.NOTHING, 0, 0.0, frozenset(("n0", "n1")))
+            holder = Holder("d", Terms(), voters, taken)
+            (said, *_) = holder.write(0.0, b"x")
+            assert isinstance(said, e.Say) and isinstance(said.word, w.Accept)
+            done: list[e.Effect] = []
+            for sender, when in (("n0", 1.0), ("n1", at)):
+                word = w.Accepted(duty="d", version=1, ballot=ballot, round=said.word.round, seq=1)
+                done += holder.take(when, sender, word)
+            written = [x for x in done if isinstance(x, e.Written)]
+            self.assertEqual(written, [e.Written("d", 5, 1)] * confirmed)
+            self.assertEqual(any(isinstance(x, e.Lost) for x in done), not confirmed)
+            self.assertEqual(holder.holds(at), confirmed)
