Duties: what is lost in the turn in which the disk refuses a word is told as lost

Cause, by reading: `Duties.carry` threw away the rest of its list where a word could not be kept, and one beat's list is of all duties. A watcher whose lease ran out in that beat never heard of it (`fence` was right: nobody acted by it).

Change: of the rest, what is lost and what is for the log still counts; nothing is said.

The test fails without it.

--- a/onyxpost/duties/service.py
+++ b/onyxpost/duties/service.py
@@ -132,14 +132,15 @@
 
     def carry(self, effects: list[e.Effect], sender: str = "") -> None:
         """`sender`: of the word that they come from."""
-        for effect in effects:
+        for i, effect in enumerate(effects):
             match effect:
                 case e.Say():
                     done = self.links.send(effect.to, w.TOPIC, w.encode(effect.word))
                     self.counts["sent" if done else "unsent"] += 1
                     self.counts["asked"] += isinstance(effect.word, w.Prepare)
                 case e.Word():
-                    if not self.keep(effect):
+                    if not self.keep(effect):  # what is lost is lost all the same, of whichever duty
+                        self.carry([x for x in effects[i + 1 :] if isinstance(x, e.Lost | e.Note)])
                         return
                 case e.Held() | e.Lost() | e.Written():
                     self.changed(effect)
--- a/tests/duties/test_crossings.py
+++ b/tests/duties/test_crossings.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from onyxpost.duties import effects as e
 from onyxpost.duties import messages as w
 from onyxpost.duties.ballots import NOBODY, Ballot
 from onyxpost.duties.candidate import Phase, Taken
+from onyxpost.duties.errors import DiskRefused
 from onyxpost.duties.holder import Holder
 from onyxpost.duties.membership import Voters
 from onyxpost.duties.terms import Terms
@@ -88,6 +90,26 @@
 
         virtual.run(main())
 
+    def test_a_duty_lost_in_the_turn_in_which_the_disk_refuses_a_word_is_told_as_lost(self) -> None:
+        async def main() -> None:
+            town = Town(1, 3)
+            await town.start()
+            duties = town.nodes["n00"].duties
+            told: list[e.Lost | e.Held | e.Written] = []
+            duties.watch("d0", told.append)
+            keeper = duties.keeper = mock.Mock()
+            keeper.keep.side_effect = DiskRefused("the disk is full", "file")
+            record = w.NOTHING
+            duties.carry([
+                e.Word("other", 1, NOBODY, record, 0, 0), e.Held("d0", 5, record, 0), e.Lost("d0", 4, "over"),
+                e.Say("n01", w.Look(duty="d0", version=1, asked=7)),
+            ])  # fmt: skip
+            self.assertEqual(told, [e.Lost("d0", 4, "over")])
+            self.assertEqual(duties.counts["sent"] + duties.counts["unsent"], 0)
+            await town.close()
+
+        virtual.run(main())
+
     def test_a_write_whose_last_answer_comes_at_the_end_of_the_lease_is_not_confirmed(self) -> None:
         voters, ballot = Voters(1, ("n0", "n1", "n2")), Ballot(5, "n0", 1)
         for at, confirmed in ((1999.0, True), (2000.0, False), (2001.0, False)):
