Planner: strangers that say nothing are bounded, and one ended for room replaces no connection

Change: one a forwarder and 64 more; one more ends the oldest. A connection that was ended in the turn in which its hello was read is not taken in place of the good one.

--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -23,6 +23,7 @@
 FIRST = 2.0  # s in which a connection must have said who it is
 SILENT = 10.0  # s without a word after which a connection is cut
 LIMIT, ACCEPTS = 65536, 128
+STRANGERS = 64  # connections that have not said who they are, beyond one a forwarder: the oldest then ends
 
 
 class Planner:
@@ -37,6 +38,7 @@
         self.ledger = Ledger(now, node.plans, node.terms, 1.0 - node.share)
         self.council = Council(now, node.forwarders, node.version)
         self.writers: dict[str, asyncio.StreamWriter] = {}
+        self.waiting: dict[asyncio.StreamWriter, None] = {}  # oldest first
         self.listener: Listener | None = None
         self.granting = False
         self.reports: dict[str, list[tuple[str, int, str, int, float]]] = {}  # what forwarders hold
@@ -62,6 +64,8 @@
             self.listener.close()
         for name in list(self.writers):
             self.writers.pop(name).transport.abort()
+        for writer in list(self.waiting):
+            writer.transport.abort()
 
     def reload(self) -> None:
         try:
@@ -137,14 +141,21 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         name = ""
+        self.waiting[writer] = None
+        if len(self.waiting) > len(self.node.forwarders) + STRANGERS:
+            self.waiting.pop(oldest := next(iter(self.waiting)))
+            oldest.transport.abort()
         try:
             async with asyncio.timeout(FIRST):
                 hello = await w.from_forwarder(reader)
+            if writer.transport.is_closing():
+                return  # ended for room, or told to end, with its hello unread
             if not isinstance(hello, w.Hello) or hello.protocol != w.PROTOCOL:
                 raise w.Malformed("no hello of this protocol")
             if hello.forwarder not in self.node.forwarders:
                 raise w.Malformed(f"unknown forwarder {hello.forwarder}")
             name = hello.forwarder
+            self.waiting.pop(writer, None)
             old = self.writers.pop(name, None)
             if old is not None:
                 old.transport.abort()
@@ -160,6 +171,7 @@
             if isinstance(err, w.Malformed):
                 self.log("connection ended", logging.WARNING, forwarder=name, **err.fields())
         finally:
+            self.waiting.pop(writer, None)
             if name and self.writers.get(name) is writer:
                 del self.writers[name]
                 self.council.gone(name)
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -24,7 +24,7 @@
 from onyxpost.interface import Plan
 from onyxpost.lab import virtual
 from onyxpost.plan import wire as w
-from onyxpost.plan.planner import Planner
+from onyxpost.plan.planner import STRANGERS, Planner
 from tests.planning import Town
 from tests.test_fleet import Fleet, address, play
 
@@ -215,6 +215,36 @@
                 self.assertEqual((self.code, faults), (0, []))
                 self.assertFalse(self.net.hears)  # a SIGHUP from here on would find no loop
 
+    def test_strangers_that_say_nothing_are_few_and_forwarders_come_through_them(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            first = await Talker(town, "f0").dial()
+            silent = [await Talker(town, "stranger").connect() for _ in range(300)]
+            self.assertLessEqual(len(planner.waiting), 4 + STRANGERS)
+            again = await Talker(town, "f1").dial()
+            await asyncio.sleep(0.1)
+            self.assertEqual(set(planner.writers), {"f0", "f1"})
+            await asyncio.sleep(3.0)
+            self.assertEqual(planner.waiting, {})
+            for talker in (*silent, first, again):
+                talker.writer.close()
+
+        planned(story)
+
+    def test_a_connection_ended_for_room_in_the_turn_of_its_hello_replaces_none(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            first = await Talker(town, "f0").dial()
+            await asyncio.sleep(0.1)
+            kept = planner.writers["f0"]
+            late = await Talker(town, "f0").connect()
+            await asyncio.sleep(0.01)
+            late.arrive(w.Hello(1, "f0", 1))
+            late.far.abort()
+            await asyncio.sleep(0.1)
+            self.assertIs(planner.writers.get("f0"), kept)
+            first.writer.close()
+
+        planned(story)
+
 
 class Forwarding(unittest.TestCase):
     def test_one_that_leaves_asks_for_nothing_more_and_a_grant_on_its_way_goes_back(self) -> None:
@@ -476,3 +506,15 @@
 
         fleet = play(story, begin=1)
         self.assertEqual([body for *_, body in fleet.heard], [b"new"])
+
+    def test_a_reload_before_the_links_begin_leaves_one_dial_a_peer(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            host, life = fleet.net.host("n0"), begun(5000.0, "x")
+            links = Links(host, "n0", life, fleet.membership, print, lambda _: None)
+            links.move(Membership(2, fleet.membership.members))
+            links.begin()
+            await asyncio.sleep(3.0)
+            self.assertEqual((links.dialled, sorted(links.links)), (2, ["n1", "n2"]))
+            links.close()
+
+        play(story, begin=1)
