Forwarder: a grant whose ask is forgotten goes back instead of lying out to its end

Cause, by reading and a story: `Book.grant` gave back only what came too late for an ask that it still knew. An ask is forgotten by a SIGHUP with another membership and after 5 s; a grant then on its way (a planner kept in both memberships, or stopped for long) was ignored, its units out until the lease's end for nobody.

Change: whatever grant of the planner's present life is not taken goes back whole, once.

The test, for both ways to forget, fails without it.

--- a/onyxpost/forward/book.py
+++ b/onyxpost/forward/book.py
@@ -137,9 +137,10 @@
         good = asked_of == planner and customer == grant.customer and self.epochs.get(planner) == grant.epoch
         if not good or key in self.known or ends <= now or grant.units <= 0 or self.leaving:
             self.ignored += 1
-            if good and key not in self.known and self.epochs.get(planner) == grant.epoch:
+            if key not in self.known and self.epochs.get(planner) == grant.epoch:
+                # Too late, or its ask is forgotten, as by another membership: surely not used here.
                 self.known[key] = now + 60_000.0, 0
-                self.out.append((planner, w.Back(grant.lease, grant.units, grant.epoch)))  # too late
+                self.out.append((planner, w.Back(grant.lease, grant.units, grant.epoch)))
             return
         self.takes += 1
         self.known[key] = now + 60_000.0, self.takes
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -351,6 +351,22 @@
             book.lost("p0")
 
 
+    def test_a_grant_whose_ask_is_forgotten_goes_back_whole_once(self) -> None:
+        """As where a SIGHUP brings another membership meanwhile, or its planner was stopped for long."""
+        for forget in (lambda book: book.change(150.0, ["p0", "p1"], 2), lambda book: book.beat(5_200.0)):
+            book = Book("f", ["p0"], 1)
+            book.connected(100.0, "p0", w.Welcome(1, "p0", "e", 1, 2000.0))
+            book.spend(100.0, 7, "p", 3, 0)
+            ((_, asked),) = book.taken()[0]
+            assert isinstance(asked, w.Ask)
+            forget(book)
+            book.taken()
+            for _ in range(2):
+                book.heard(5_300.0, "p0", w.Grant(asked.number, 4, 7, "p", 5, "e"))
+            book.heard(5_300.0, "p0", w.Grant(asked.number, 5, 7, "p", 5, "earlier"))
+            self.assertEqual(book.taken(), ([("p0", w.Back(4, 5, "e"))], []))
+
+
 class Linking(unittest.TestCase):
     def test_the_last_words_of_a_node_that_leaves_are_heard_though_the_other_speaks_just_then(self) -> None:
         async def main() -> None:
