--- a/tests/duties/test_crossings.py
+++ b/tests/duties/test_crossings.py
@@ -12,6 +12,7 @@
 from onyxpost.duties.holder import Holder
 from onyxpost.duties.membership import Voters
 from onyxpost.duties.terms import Terms
+from onyxpost.duties.voter import Voter
 from onyxpost.lab import virtual
 from onyxpost.lab.explore.town import Town
 
@@ -71,6 +72,22 @@
         virtual.run(main())
 
 
+class Words(unittest.TestCase):
+    def test_a_release_heard_before_what_it_releases_is_not_undone_by_it(self) -> None:
+        """As over a link that was replaced between the two."""
+        voters, ballot = Voters(1, ("n0", "n1", "n2")), Ballot(900_000, "n1", 1)
+        voter = Voter(0.0, "n0", "d", Terms(), voters)
+        voter.votes, now = True, 1_000_000.0
+        said = {"duty": "d", "version": 1, "ballot": ballot}
+        voter.take(now, "n1", w.Prepare(**said))
+        voter.take(now, "n1", w.Release(held=True, **said))
+        accept = w.Accept(round=1, lasts=2000.0, seq=0, settled=0, era=0, record=w.NOTHING, **said)
+        (answer,) = voter.take(now, "n1", accept)
+        assert isinstance(answer, e.Say) and isinstance(answer.word, w.Refuse)
+        self.assertEqual(answer.word.why, "promised")
+        self.assertLessEqual(voter.lease.until, now)
+
+
 class Losses(unittest.TestCase):
     def test_a_watcher_that_fails_as_a_duty_is_lost_ends_neither_the_loop_nor_the_handing_on(self) -> None:
         async def main() -> None:
