Forwarder: a planner that leaves an ask unanswered for 3 s is dialled anew

Need: every wait ends. A forwarder read on from a planner for as long as the system kept the connection: behind a path that carries nothing more that is minutes, in which its customers had their safe share alone, also where the planner was back at once (links between nodes are cut after 3 s without a word).

Change: an ask that waits for 3 s with nothing said by its planner ends that connection, with a line; a planner that has nothing to answer is left alone.

The test fails without it (no line, no new connection).

--- a/onyxpost/forward/book.py
+++ b/onyxpost/forward/book.py
@@ -18,6 +18,7 @@
 SPAN = 2000.0  # ms over which use is measured
 RECENT = 10_000.0  # ms for which a customer seen here keeps one req's units at hand
 PATIENT = 500.0  # ms after which an ask without an answer is asked again
+MUTE = 3000.0  # ms for which a planner may say nothing while an ask waits; it answers each at once
 EARLY = 100.0  # ms before a lease's end at which it is used no more: what is on its way still arrives
 
 
@@ -61,6 +62,7 @@
         self.known: dict[tuple[str, int], tuple[float, int]] = {}  # by epoch and lease: when to forget, own
         self.epochs: dict[str, str] = {}  # of planners that are connected
         self.lasts: dict[str, float] = {}
+        self.heard_at: dict[str, float] = {}  # when a planner last said anything
         self.numbers = self.takes = 0
         self.said_at = -math.inf
         self.leaving = False
@@ -95,6 +97,7 @@
 
     def connected(self, now: float, planner: str, welcome: w.Welcome) -> None:
         self.epochs[planner], self.lasts[planner] = welcome.epoch, welcome.lasts
+        self.heard_at[planner] = now
         for customer, _, asked in self.asks.values():  # their answers were lost with the connection before
             if asked == planner and customer in self.uses:
                 self.uses[customer].asked_at = -math.inf
@@ -110,7 +113,13 @@
         """Its connection ended: what it granted may still be used until its end."""
         self.epochs.pop(planner, None)
 
+    def mute(self, now: float) -> set[str]:
+        """Connected planners that have left an ask unanswered, and said nothing, for long."""
+        waits = (planner for _, at, planner in self.asks.values() if now - at >= MUTE)
+        return {name for name in waits if name in self.epochs and now - self.heard_at[name] >= MUTE}
+
     def heard(self, now: float, planner: str, message: w.FromPlanner) -> None:
+        self.heard_at[planner] = now
         match message:
             case w.Grant():
                 self.grant(now, planner, message)
--- a/onyxpost/forward/client.py
+++ b/onyxpost/forward/client.py
@@ -11,9 +11,10 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import READ
 from onyxpost.edge.net import Net
+from onyxpost.errors import OperatorError
 from onyxpost.fleet.frames import room
 from onyxpost.fleet.redial import stay
-from onyxpost.forward.book import Book
+from onyxpost.forward.book import MUTE, Book
 from onyxpost.forward.errors import PlannerLost
 from onyxpost.plan import wire as w
 
@@ -59,13 +60,15 @@
                 continue
             writer.write(w.frame(message))
             if not room(writer, 0):
-                cause = {"planner": planner, **w.DoesNotRead("does not read").fields()}
-                self.log(m.Log("planner cut", cause, logging.WARNING))
-                writer.transport.abort()
-                self.writers.pop(planner, None)
+                self.cut(planner, w.DoesNotRead("does not read"))
         for item in news:
             self.post(item)
 
+    def cut(self, planner: str, why: OperatorError) -> None:
+        self.log(m.Log("planner cut", {"planner": planner, **why.fields()}, logging.WARNING))
+        if (writer := self.writers.pop(planner, None)) is not None:
+            writer.transport.abort()
+
     async def beat(self) -> None:
         told = self.net.clock()
         while True:
@@ -73,6 +76,8 @@
             now = self.net.clock()
             self.book.beat(now)
             self.deliver()
+            for planner in self.book.mute(now) & self.writers.keys():
+                self.cut(planner, PlannerLost(f"no answer for {MUTE:.0f} ms"))
             if now - told >= 1000.0 * FIGURES:
                 told = now
                 self.log(m.Log("leases", dict(self.book.figures())))
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -367,6 +367,28 @@
             self.assertEqual(book.taken(), ([("p0", w.Back(4, 5, "e"))], []))
 
 
+    def test_a_planner_that_leaves_an_ask_unanswered_is_dialled_anew_one_that_has_none_is_left(self) -> None:
+        """As behind a path that carries nothing more: the system itself gives up after minutes."""
+
+        async def story(town: Town, planner: Planner) -> None:
+            logs: list[m.Log] = []
+            client = Planners(town.net.host("f0"), "f0", town.members(), 1, lambda _: None, logs.append)
+            client.begin()
+            await asyncio.sleep(1.0)
+            town.net.silent = lambda here, there: True  # type: ignore[method-assign]
+            await asyncio.sleep(6.0)
+            self.assertEqual([log for log in logs if log.event == "planner cut"], [])
+            client.spend(m.Spend(7, "p", 3, 0))
+            await asyncio.sleep(3.2)
+            self.assertEqual([log.fields["planner"] for log in logs if log.event == "planner cut"], ["p0"])
+            town.net.silent = lambda here, there: False  # type: ignore[method-assign]
+            await asyncio.sleep(1.5)
+            self.assertEqual(list(client.writers), ["p0"])
+            client.close()
+
+        planned(story, forwarders=1)
+
+
 class Linking(unittest.TestCase):
     def test_the_last_words_of_a_node_that_leaves_are_heard_though_the_other_speaks_just_then(self) -> None:
         async def main() -> None:
