--- a/onyxpost/duties/service.py
+++ b/onyxpost/duties/service.py
@@ -111,7 +111,7 @@
     def heard(self, sender: str, body: bytes) -> None:
         self.counts["heard"] += 1
         try:
-            self.carry(self.table.take(self.net.clock(), sender, body))
+            self.carry(self.table.take(self.net.clock(), sender, body), sender)
         except WordMalformed as err:
             self.note(f"malformed/{sender}", "duty word dropped", err.fields())
 
@@ -130,21 +130,24 @@
 
     # Effects
 
-    def carry(self, effects: list[e.Effect]) -> None:
-        for effect in effects:
+    def carry(self, effects: list[e.Effect], sender: str = "") -> None:
+        """`sender`: of the word that they come from."""
+        for i, effect in enumerate(effects):
             match effect:
                 case e.Say():
                     done = self.links.send(effect.to, w.TOPIC, w.encode(effect.word))
                     self.counts["sent" if done else "unsent"] += 1
                     self.counts["asked"] += isinstance(effect.word, w.Prepare)
                 case e.Word():
-                    if not self.keep(effect):
+                    if not self.keep(effect):  # what is lost is lost all the same, of whichever duty
+                        self.carry([x for x in effects[i + 1 :] if isinstance(x, e.Lost | e.Note)])
                         return
                 case e.Held() | e.Lost() | e.Written():
                     self.changed(effect)
                 case e.Note():
                     said = {"duty": effect.duty, "act": effect.act, "why": effect.why, "fence": effect.number}
-                    self.note(f"{effect.duty}/{effect.act}/{effect.why}", "duty", said)
+                    kind = f"dropped/{sender}" if effect.act == "dropped" else f"{effect.duty}/{effect.why}"
+                    self.note(kind, "duty", said)
 
     def keep(self, word: e.Word) -> bool:
         try:
@@ -173,7 +176,10 @@
                 if holder is not None and holder.record.seq == effect.seq:
                     self.tell(duty, "wrote", effect.fence, **self.said(holder.record))
         if duty in self.watching:
-            self.watching[duty](effect)
+            try:
+                self.watching[duty](effect)
+            except Exception as err:  # neither the loop of all duties nor what follows ends by it
+                self.log(m.fault(f"duty {duty}", err))
 
     def said(self, record: w.Record) -> dict[str, object]:
         return {"number": record.seq, "record": record.body[:100].decode("utf-8", "replace")}
--- a/onyxpost/forward/book.py
+++ b/onyxpost/forward/book.py
@@ -18,6 +18,7 @@
 SPAN = 2000.0  # ms over which use is measured
 RECENT = 10_000.0  # ms for which a customer seen here keeps one req's units at hand
 PATIENT = 500.0  # ms after which an ask without an answer is asked again
+MUTE = 3000.0  # ms for which a planner may say nothing while an ask waits; it answers each at once
 EARLY = 100.0  # ms before a lease's end at which it is used no more: what is on its way still arrives
 
 
@@ -61,8 +62,10 @@
         self.known: dict[tuple[str, int], tuple[float, int]] = {}  # by epoch and lease: when to forget, own
         self.epochs: dict[str, str] = {}  # of planners that are connected
         self.lasts: dict[str, float] = {}
+        self.heard_at: dict[str, float] = {}  # when a planner last said anything
         self.numbers = self.takes = 0
         self.said_at = -math.inf
+        self.leaving = False
         self.out: list[tuple[str, w.Message]] = []
         self.news: list[Granted | Withdrawn] = []
         self.granted = self.spent = self.unused = self.refused = self.ignored = 0
@@ -93,12 +96,11 @@
     # What planners say
 
     def connected(self, now: float, planner: str, welcome: w.Welcome) -> None:
-        before = self.epochs.get(planner)
         self.epochs[planner], self.lasts[planner] = welcome.epoch, welcome.lasts
-        if before is not None and before != welcome.epoch:
-            for customer, _, asked in list(self.asks.values()):
-                if asked == planner and customer in self.uses:
-                    self.uses[customer].asked_at = -math.inf
+        self.heard_at[planner] = now
+        for customer, _, asked in self.asks.values():  # their answers were lost with the connection before
+            if asked == planner and customer in self.uses:
+                self.uses[customer].asked_at = -math.inf
         self.asks = {number: ask for number, ask in self.asks.items() if ask[2] != planner}
 
     def hello(self, now: float) -> w.Hello:
@@ -111,7 +113,13 @@
         """Its connection ended: what it granted may still be used until its end."""
         self.epochs.pop(planner, None)
 
+    def mute(self, now: float) -> set[str]:
+        """Connected planners that have left an ask unanswered, and said nothing, for long."""
+        waits = (planner for _, at, planner in self.asks.values() if now - at >= MUTE)
+        return {name for name in waits if name in self.epochs and now - self.heard_at[name] >= MUTE}
+
     def heard(self, now: float, planner: str, message: w.FromPlanner) -> None:
+        self.heard_at[planner] = now
         match message:
             case w.Grant():
                 self.grant(now, planner, message)
@@ -136,11 +144,12 @@
         key = (grant.epoch, grant.lease)
         ends = asked_at + self.lasts.get(planner, 0.0) - EARLY
         good = asked_of == planner and customer == grant.customer and self.epochs.get(planner) == grant.epoch
-        if not good or key in self.known or ends <= now or grant.units <= 0:
+        if not good or key in self.known or ends <= now or grant.units <= 0 or self.leaving:
             self.ignored += 1
-            if good and key not in self.known and self.epochs.get(planner) == grant.epoch:
+            if key not in self.known and self.epochs.get(planner) == grant.epoch:
+                # Too late, or its ask is forgotten, as by another membership: surely not used here.
                 self.known[key] = now + 60_000.0, 0
-                self.out.append((planner, w.Back(grant.lease, grant.units, grant.epoch)))  # too late to use
+                self.out.append((planner, w.Back(grant.lease, grant.units, grant.epoch)))
             return
         self.takes += 1
         self.known[key] = now + 60_000.0, self.takes
@@ -157,7 +166,7 @@
         return sum(h.left for h in self.held.values() if h.customer == customer and h.ends > now)
 
     def want(self, now: float, customer: int, use: Use) -> None:
-        if not self.planners or now < use.not_before or now - use.asked_at < PATIENT:
+        if self.leaving or not self.planners or now < use.not_before or now - use.asked_at < PATIENT:
             return
         planner = owner(self.planners, customer)
         lasts = self.lasts.get(planner)
@@ -197,9 +206,14 @@
             self.out.append((held.planner, message))
 
     def leave(self, now: float) -> None:
-        """SIGTERM: all that is held goes back."""
+        """SIGTERM: all that is held goes back, as does what is granted from now on; no more is asked for."""
+        self.leaving = True
         self.news += [Withdrawn(held.customer, own) for own, held in self.held.items()]
 
+    def settled(self) -> bool:
+        """Nothing is held, and no answer is on its way."""
+        return not self.held and not any(planner in self.epochs for _, _, planner in self.asks.values())
+
     def change(self, now: float, planners: Sequence[str], version: int) -> None:
         """Another membership: never an older one. What is held may be used until its end."""
         if version > self.version:
--- a/onyxpost/forward/client.py
+++ b/onyxpost/forward/client.py
@@ -11,9 +11,10 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge.exchange import READ
 from onyxpost.edge.net import Net
+from onyxpost.errors import OperatorError
 from onyxpost.fleet.frames import room
 from onyxpost.fleet.redial import stay
-from onyxpost.forward.book import Book
+from onyxpost.forward.book import MUTE, Book
 from onyxpost.forward.errors import PlannerLost
 from onyxpost.plan import wire as w
 
@@ -21,6 +22,7 @@
 AGAIN = 0.2  # s before a planner that is not there is tried again
 CONNECT = 1.0  # s for a connection and its welcome
 FIGURES = 10.0  # s between lines of figures
+LINGER = 0.2  # s for planners to read the last words, and end
 
 
 class Planners:
@@ -33,12 +35,13 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.writers: dict[str, asyncio.StreamWriter] = {}
         self.beating: asyncio.Task[None] | None = None
-        self.left = False
+        self.left = self.said_all = False
 
     def begin(self) -> None:
         self.beating = asyncio.get_running_loop().create_task(self.beat())
         for name in self.members:
-            self.tasks[name] = self.stay_with(name)
+            if name not in self.tasks:  # a SIGHUP during the start has begun some
+                self.tasks[name] = self.stay_with(name)
 
     def spend(self, spent: m.Spend) -> None:
         self.book.spend(self.net.clock(), *spent)
@@ -53,17 +56,19 @@
         out, news = self.book.taken()
         for planner, message in out:
             writer = self.writers.get(planner)
-            if writer is None:
+            if writer is None or self.said_all:
                 continue
             writer.write(w.frame(message))
             if not room(writer, 0):
-                cause = {"planner": planner, **w.DoesNotRead("does not read").fields()}
-                self.log(m.Log("planner cut", cause, logging.WARNING))
-                writer.transport.abort()
-                self.writers.pop(planner, None)
+                self.cut(planner, w.DoesNotRead("does not read"))
         for item in news:
             self.post(item)
 
+    def cut(self, planner: str, why: OperatorError) -> None:
+        self.log(m.Log("planner cut", {"planner": planner, **why.fields()}, logging.WARNING))
+        if (writer := self.writers.pop(planner, None)) is not None:
+            writer.transport.abort()
+
     async def beat(self) -> None:
         told = self.net.clock()
         while True:
@@ -71,6 +76,8 @@
             now = self.net.clock()
             self.book.beat(now)
             self.deliver()
+            for planner in self.book.mute(now) & self.writers.keys():
+                self.cut(planner, PlannerLost(f"no answer for {MUTE:.0f} ms"))
             if now - told >= 1000.0 * FIGURES:
                 told = now
                 self.log(m.Log("leases", dict(self.book.figures())))
@@ -80,7 +87,7 @@
 
         def ended(err: Exception | None) -> float:
             nonlocal quiet
-            if err is not None and not quiet:
+            if err is not None and not quiet and not self.left:
                 lost = err if isinstance(err, w.Malformed) else PlannerLost(f"{type(err).__name__}: {err}")
                 self.log(m.Log("planner lost", {"planner": name, **lost.fields()}, logging.WARNING))
             quiet = name not in self.book.epochs
@@ -92,6 +99,8 @@
         return asyncio.get_running_loop().create_task(staying)
 
     async def with_one(self, name: str) -> None:
+        if self.left:
+            return
         async with asyncio.timeout(CONNECT):
             reader, writer, _ = await self.net.dial(self.members[name], READ)
         try:
@@ -112,7 +121,7 @@
 
     def move(self, members: dict[str, m.Address], version: int) -> bool:
         """Another membership by SIGHUP: only a later version is followed."""
-        if version <= self.book.version:
+        if version <= self.book.version or self.left:
             return False
         for name in [n for n in self.tasks if members.get(n) != self.members.get(n)]:
             self.tasks.pop(name).cancel()
@@ -126,18 +135,24 @@
         return True
 
     async def leave(self) -> None:
-        """All leases go back, and are on their way before the connections end."""
+        """All leases go back, and are heard: closed over unread bytes, as of a grant, the connection
+        would be reset and the last words go with it."""
+        self.left = True
         self.book.leave(self.net.clock())
         self.deliver()
         for _ in range(10):
-            if not self.book.held:
+            if self.book.settled():
                 break
             await asyncio.sleep(0.01)
         self.deliver()
+        self.said_all = True
         for writer in self.writers.values():
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(0.2):
-                    await writer.drain()
+            with contextlib.suppress(OSError):
+                writer.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER):
+                while self.writers:
+                    await asyncio.sleep(0.01)
 
     def close(self) -> None:
         for task in [self.beating, *self.tasks.values()]:
--- a/onyxpost/plan/planner.py
+++ b/onyxpost/plan/planner.py
@@ -23,6 +23,7 @@
 FIRST = 2.0  # s in which a connection must have said who it is
 SILENT = 10.0  # s without a word after which a connection is cut
 LIMIT, ACCEPTS = 65536, 128
+STRANGERS = 64  # connections that have not said who they are, beyond one a forwarder: the oldest then ends
 
 
 class Planner:
@@ -37,6 +38,7 @@
         self.ledger = Ledger(now, node.plans, node.terms, 1.0 - node.share)
         self.council = Council(now, node.forwarders, node.version)
         self.writers: dict[str, asyncio.StreamWriter] = {}
+        self.waiting: dict[asyncio.StreamWriter, None] = {}  # oldest first
         self.listener: Listener | None = None
         self.granting = False
         self.reports: dict[str, list[tuple[str, int, str, int, float]]] = {}  # what forwarders hold
@@ -53,13 +55,16 @@
         await told_to_stop.wait()
         self.lines.write(self.net.clock(), "phase", {"phase": "stopped", **self.ledger.figures()})
         beating.cancel()
+        self.net.deaf()
         self.close()
         return 0
 
     def close(self) -> None:
         if self.listener is not None:
             self.listener.close()
-        for writer in list(self.writers.values()):
+        for name in list(self.writers):
+            self.writers.pop(name).transport.abort()
+        for writer in list(self.waiting):
             writer.transport.abort()
 
     def reload(self) -> None:
@@ -81,6 +86,8 @@
         self.node = told
         if self.council.change(now, told.forwarders, told.version):
             self.granting, self.reports = False, {}
+        for name in self.writers.keys() - set(told.forwarders):
+            self.writers.pop(name).transport.abort()
         surplus = self.ledger.change(now, told.plans)
         for lease in surplus:
             self.say(lease.forwarder, w.Withdraw(lease.number, self.epoch))
@@ -98,6 +105,7 @@
 
     def look(self, now: float) -> None:
         self.ledger.expire(now)
+        self.lapse(now)
         if self.council.first(now):
             # Till a moment ago another version may have had more than half.
             self.ledger.wait_out(now, HEARD * (1.0 + 2.0 * self.node.terms.drift))
@@ -105,17 +113,27 @@
         if now < self.ledger.opens and reported and self.council.all(now):
             self.ledger.learned(now, (hold for holds in self.reports.values() for hold in holds))
             self.log("learned", forwarders=len(self.reports), leases=len(self.ledger.leases))
-        granting = self.council.many(now) and now >= self.ledger.opens
+        granting = self.council.had and now >= self.ledger.opens
         if granting != self.granting:
             self.granting = granting
             self.log("granting" if granting else "granting nothing", heard=len(self.council.heard))
 
+    def lapse(self, now: float) -> None:
+        if self.council.lost(now):
+            self.reports = {}
+
     # Forwarders
 
+    def follows(self, now: float, name: str, version: int) -> bool:
+        """Whether half was lost is seen before this word counts: it may have been said long ago."""
+        self.lapse(now)
+        return self.council.follows(now, name, version)
+
     def greet(self, name: str, hello: w.Hello) -> w.Welcome:
         now, node = self.net.clock(), self.node
+        counts = self.follows(now, name, hello.follows)
         waits = now < self.ledger.opens or not self.council.had
-        if self.council.follows(now, name, hello.follows) and hello.whole and waits:
+        if counts and hello.whole and waits:
             drift = 1.0 + 2.0 * node.terms.drift
             held = [(name, h.customer, h.plan, h.units, now + h.lasts * drift) for h in hello.holds]
             self.reports[name] = held
@@ -123,14 +141,21 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         name = ""
+        self.waiting[writer] = None
+        if len(self.waiting) > len(self.node.forwarders) + STRANGERS:
+            self.waiting.pop(oldest := next(iter(self.waiting)))
+            oldest.transport.abort()
         try:
             async with asyncio.timeout(FIRST):
                 hello = await w.from_forwarder(reader)
+            if writer.transport.is_closing():
+                return  # ended for room, or told to end, with its hello unread
             if not isinstance(hello, w.Hello) or hello.protocol != w.PROTOCOL:
                 raise w.Malformed("no hello of this protocol")
             if hello.forwarder not in self.node.forwarders:
                 raise w.Malformed(f"unknown forwarder {hello.forwarder}")
             name = hello.forwarder
+            self.waiting.pop(writer, None)
             old = self.writers.pop(name, None)
             if old is not None:
                 old.transport.abort()
@@ -139,11 +164,14 @@
             while True:
                 async with asyncio.timeout(SILENT):
                     message = await w.from_forwarder(reader)
-                self.take(name, message)
-        except (OSError, EOFError, w.Malformed) as err:
+                # Read late from a replaced connection: what became of leases is as true as ever.
+                if self.writers.get(name) is writer or isinstance(message, w.Used | w.Back):
+                    self.take(name, message)
+        except (OSError, EOFError, w.Malformed, asyncio.CancelledError) as err:
             if isinstance(err, w.Malformed):
                 self.log("connection ended", logging.WARNING, forwarder=name, **err.fields())
         finally:
+            self.waiting.pop(writer, None)
             if name and self.writers.get(name) is writer:
                 del self.writers[name]
                 self.council.gone(name)
@@ -154,7 +182,7 @@
         now = self.net.clock()
         match message:
             case w.Follow(version=version):
-                self.council.follows(now, name, version)
+                self.follows(now, name, version)
             case w.Ask():
                 self.say(name, self.answer(now, name, message))
             case w.Used(lease=number, units=units, epoch=epoch):
@@ -174,7 +202,8 @@
             return refuse(500.0, "another version")
         if owner(self.node.members, ask.customer) != self.node.name:
             return refuse(500.0, "not this planner's customer")
-        if not self.council.many(now):
+        # `had`: what another version granted before is not waited out until a look has found the half.
+        if not (self.council.had and self.council.many(now)):
             return refuse(200.0, "less than half follow")
         lease = self.ledger.ask(now, name, ask.customer, ask.plan, ask.units, ask.least)
         if isinstance(lease, Refused):
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,558 @@
+"""Hand-overs in the moment a process ends, moves or is replaced: each pair of events in its orders."""
+
+import asyncio
+import contextlib
+import io
+import socket
+import unittest
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from onyxpost.edge import messages as m
+from onyxpost.edge.log import Lines
+from onyxpost.edge.net import Sockets
+from onyxpost.fleet import talk as t
+from onyxpost.fleet.frames import frame, read
+from onyxpost.fleet.links import Links
+from onyxpost.fleet.lives import begun
+from onyxpost.fleet.liveness import State
+from onyxpost.fleet.membership import Membership
+from onyxpost.forward.book import Book, Held
+from onyxpost.forward.client import Planners
+from onyxpost.interface import Plan
+from onyxpost.lab import virtual
+from onyxpost.plan import wire as w
+from onyxpost.plan.planner import STRANGERS, Planner
+from tests.planning import Town
+from tests.test_fleet import Fleet, address, play
+
+Faults = list[dict[str, Any]]
+
+PLAN = Plan("p", 40.0, 60.0, 0, 1.0, 60.0, 80.0)
+OPEN = 5.0  # s: what an earlier life or another version granted is surely over
+
+
+class Talker:
+    """A forwarder whose every word the story says."""
+
+    def __init__(self, town: Town, name: str) -> None:
+        self.town, self.name = town, name
+
+    async def connect(self) -> "Talker":
+        address = self.town.members()["p0"]
+        self.reader, self.writer, _ = await self.town.net.host(self.name).dial(address, 65536)
+        self.far = self.town.net.wires[self.name][-1].ends[1]
+        return self
+
+    async def dial(self, *words: w.Message) -> "Talker":
+        await self.connect()
+        self.say(w.Hello(1, self.name, 1), *words)
+        return self
+
+    def arrive(self, *words: w.Message) -> None:
+        """Read by the planner's side in this very turn."""
+        self.far.came(b"".join(w.frame(word) for word in words))
+
+    def say(self, *words: w.Message) -> None:
+        """In one piece: they are read in one turn."""
+        self.writer.write(b"".join(w.frame(word) for word in words))
+
+    async def heard(self) -> list[w.Message]:
+        await asyncio.sleep(0.02)
+        heard = []
+        while self.reader._buffer:  # type: ignore[attr-defined]
+            heard.append(await w.from_planner(self.reader))
+        return [word for word in heard if not isinstance(word, w.Welcome)]
+
+
+def ask(number: int = 1, version: int = 1) -> w.Ask:
+    return w.Ask(number, 7, "p", 3, 1, version)
+
+
+class Told(Sockets):
+    """Loopback; the test says when the process is told to end."""
+
+    hears = True
+
+    def signals(self, stop: Callable[[], None], reread: Callable[[], None]) -> None:
+        self.stop = stop
+
+    def deaf(self) -> None:
+        self.hears = False
+
+
+def small(listening: socket.socket) -> socket.socket:
+    """Takes little before it reads: the rest waits at the other side's system."""
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listening.setblocking(False)
+    return listening
+
+
+def planned(story: Callable[[Town, Planner], Coroutine[Any, Any, None]], forwarders: int = 4) -> Town:
+    """One planner that started `OPEN` s ago, and nobody who talks to it."""
+
+    async def main() -> Town:
+        town = Town(1, forwarders, 1, PLAN)
+        town.start_planner("p0")
+        planner = town.planners["p0"]
+        assert planner is not None
+        await asyncio.sleep(OPEN)
+        await story(town, planner)
+        town.stop()
+        await asyncio.sleep(0.1)
+        return town
+
+    return virtual.run(main())  # type: ignore[no-any-return]
+
+
+class Planning(unittest.TestCase):
+    def test_an_ask_read_with_the_word_that_makes_half_is_granted_nothing_yet(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            self.others = [await Talker(town, name).dial() for name in ("f0", "f1")]
+            await asyncio.sleep(0.3)
+            last = await Talker(town, "f2").dial(ask())
+            self.assertEqual([type(word) for word in await last.heard()], [w.Refuse])
+            self.assertEqual(planner.ledger.granted, 0)
+
+        planned(story)
+
+    def test_words_said_before_a_stop_make_no_half_after_it(self) -> None:
+        """Read at once after the stop they count as said now, while their senders follow another version."""
+
+        async def story(town: Town, planner: Planner) -> None:
+            talkers = [await Talker(town, f"f{i}").dial() for i in range(4)]
+            for i in range(10):
+                await asyncio.sleep(0.4)
+                for talker in talkers:
+                    talker.say(w.Follow(1), *([ask(i)] if i == 9 else []))
+            granted = [await talker.heard() for talker in talkers]
+            self.assertEqual({type(word) for words in granted for word in words}, {w.Grant})
+            with mock.patch.object(planner, "look"):  # stopped: it neither reads nor looks
+                for writer in planner.writers.values():
+                    writer.transport.pause_reading()  # type: ignore[attr-defined]
+                for talker in talkers[1:]:
+                    talker.say(w.Follow(1))
+                await asyncio.sleep(5.0)
+                talkers[0].say(w.Follow(1), ask(11))
+                await asyncio.sleep(0.1)
+                for name in ("f1", "f2", "f3", "f0"):
+                    planner.writers[name].transport.resume_reading()  # type: ignore[attr-defined]
+                self.assertEqual([type(word) for word in await talkers[0].heard()], [w.Refuse])
+            for i in range(12):  # with words that are new it grants again, after its wait
+                await asyncio.sleep(0.4)
+                for talker in talkers:
+                    talker.say(w.Follow(1), *([ask(12)] if i == 11 else []))
+            self.assertEqual([type(word) for word in await talkers[0].heard()], [w.Grant])
+
+        planned(story)
+
+    def test_what_a_replaced_connection_still_asks_is_not_answered_to_its_successor(self) -> None:
+        """Numbers of asks begin anew with each life: an answer to another could be taken."""
+
+        async def story(town: Town, planner: Planner) -> None:
+            others = [await Talker(town, f"f{i}").dial() for i in (1, 2, 3)]
+            old = await Talker(town, "f0").dial()
+            for talker in (*others, old) * 10:
+                talker.say(w.Follow(1))
+                await asyncio.sleep(0.1)
+            old.say(ask(1))
+            (granted,) = await old.heard()
+            assert isinstance(granted, w.Grant)
+            new = await Talker(town, "f0").connect()
+            new.arrive(w.Hello(1, "f0", 1))
+            old.arrive(w.Back(granted.lease, 2, granted.epoch), w.Follow(9), ask(2))
+            self.assertEqual(await new.heard(), [])
+            self.assertIn("f0", planner.council.heard)
+            self.assertEqual(planner.ledger.figures()["leases"], 0)  # what it tells of leases counts
+            new.say(ask(1))
+            self.assertEqual([type(word) for word in await new.heard()], [w.Grant])
+
+        planned(story)
+
+    def test_a_forwarder_that_is_taken_out_gets_nothing_more_though_its_ask_is_here(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            talkers = [await Talker(town, f"f{i}").dial() for i in range(4)]
+            for talker in talkers * 10:
+                talker.say(w.Follow(1))
+                await asyncio.sleep(0.1)
+            town.names = ("f0", "f1", "f2")
+            talkers[3].arrive(ask())
+            planner.reload()
+            await asyncio.sleep(0.1)
+            self.assertTrue(talkers[3].reader.at_eof() or talkers[3].reader.exception())
+            self.assertEqual((planner.ledger.granted, len(planner.writers)), (0, 3))
+
+        planned(story)
+
+    def test_told_to_end_at_any_turn_of_a_connections_beginning_it_ends_without_a_fault(self) -> None:
+        for turns in range(8):
+            faults: Faults = []
+
+            async def main(turns: int = turns, faults: Faults = faults) -> None:
+                loop, net = asyncio.get_running_loop(), Told()
+                loop.set_exception_handler(lambda _, context: faults.append(context))
+                town = Town(1, 1, 1, PLAN)
+                node = replace(town.file("p0"), listen=("127.0.0.1", 0))
+                planner = Planner(node, Lines("p0", out=io.StringIO()), lambda: node, net, "e")
+                running = loop.create_task(planner.run())
+                while planner.listener is None:
+                    await asyncio.sleep(0)
+                at = planner.listener.sockets[0].getsockname()
+                reader, self.writer, _ = await net.dial(at, 65536)
+                self.writer.write(w.frame(w.Hello(1, "f0", 1)))
+                self.assertIsInstance(await w.from_planner(reader), w.Welcome)
+                self.late = socket.create_connection(at)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                net.stop()
+                self.addCleanup(self.late.close)
+                self.code, self.net = await running, net
+
+            with self.subTest(turns=turns):
+                asyncio.run(main())
+                self.assertEqual((self.code, faults), (0, []))
+                self.assertFalse(self.net.hears)  # a SIGHUP from here on would find no loop
+
+    def test_strangers_that_say_nothing_are_few_and_forwarders_come_through_them(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            first = await Talker(town, "f0").dial()
+            silent = [await Talker(town, "stranger").connect() for _ in range(300)]
+            self.assertLessEqual(len(planner.waiting), 4 + STRANGERS)
+            again = await Talker(town, "f1").dial()
+            await asyncio.sleep(0.1)
+            self.assertEqual(set(planner.writers), {"f0", "f1"})
+            await asyncio.sleep(3.0)
+            self.assertEqual(planner.waiting, {})
+            for talker in (*silent, first, again):
+                talker.writer.close()
+
+        planned(story)
+
+    def test_a_connection_ended_for_room_in_the_turn_of_its_hello_replaces_none(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            first = await Talker(town, "f0").dial()
+            await asyncio.sleep(0.1)
+            kept = planner.writers["f0"]
+            late = await Talker(town, "f0").connect()
+            await asyncio.sleep(0.01)
+            late.arrive(w.Hello(1, "f0", 1))
+            late.far.abort()
+            await asyncio.sleep(0.1)
+            self.assertIs(planner.writers.get("f0"), kept)
+            first.writer.close()
+
+        planned(story)
+
+
+class Forwarding(unittest.TestCase):
+    def test_one_that_leaves_asks_for_nothing_more_and_a_grant_on_its_way_goes_back(self) -> None:
+        for turns in (0, 1, 3):  # of 0.4 ms: the ask is on its way, or its grant, or here
+
+            async def main(turns: int = turns) -> None:
+                town = Town(1, 3, 1, PLAN)
+                town.net.delay = lambda here, there: 0.0008  # type: ignore[method-assign]
+                town.start()
+                await asyncio.sleep(OPEN)
+                leaver, planner = town.forwarders[0], town.planners["p0"]
+                assert planner is not None
+                for _ in range(20):
+                    leaver.ask("c", 1)
+                    await asyncio.sleep(0.05)
+                self.assertTrue(leaver.client.book.held)
+                leaver.ask("other", 2)
+                await asyncio.sleep(0.0004 * turns)
+                await leaver.client.leave()
+                leaver.kill()
+                await asyncio.sleep(0.1)
+                out = [lease for lease in planner.ledger.leases.values() if lease.forwarder == leaver.name]
+                self.assertEqual(out, [])
+                town.stop()
+
+            with self.subTest(turns=turns):
+                virtual.run(main())
+
+    def test_the_last_words_of_one_that_leaves_are_heard_though_a_planner_speaks_just_then(self) -> None:
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            with small(socket.create_server(("127.0.0.1", 0))) as listening:
+                members = {"p0": listening.getsockname()}
+                client = Planners(Sockets(), "f0", members, 1, lambda item: back(item), lambda log: None)
+
+                def back(item: Any) -> None:
+                    client.unused(m.Unused(item.lease, 1))
+
+                client.begin()
+                sock, _ = await loop.sock_accept(listening)
+                await loop.sock_recv(sock, 4096)
+                await loop.sock_sendall(sock, w.frame(w.Welcome(1, "p0", "e", 1, 2000.0)))
+                while not client.writers:
+                    await asyncio.sleep(0)
+                for own in range(1, 1001):
+                    client.book.held[own] = Held("p0", "e", w.Grant(1, own, 7, "p", 1, "e"), 1e18)
+
+                async def end() -> None:
+                    await client.leave()
+                    client.close()
+
+                ending = loop.create_task(end())
+                for _ in range(50):  # all that it does before it waits for anything
+                    await asyncio.sleep(0)
+                heard = asyncio.StreamReader(limit=1 << 20)
+                with contextlib.suppress(ConnectionResetError, BrokenPipeError):
+                    sock.sendall(w.frame(w.Withdraw(5000, "e")))
+                    while data := await loop.sock_recv(sock, 65536):
+                        heard.feed_data(data)
+                heard.feed_eof()
+                sock.close()
+                await ending
+                backs = 0
+                with contextlib.suppress(EOFError):
+                    while True:
+                        backs += isinstance(await w.from_forwarder(heard), w.Back)
+                self.assertEqual(backs, 1000)
+
+        asyncio.run(main())
+
+    def test_a_reload_during_the_start_leaves_one_connection_to_each_planner(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            client = Planners(town.net.host("f0"), "f0", town.members(), 1, lambda _: None, lambda _: None)
+            client.move(town.members(), 2)
+            client.begin()
+            await asyncio.sleep(3.0)
+            wires = [wire for wire in town.net.wires["f0"] if not wire.ends[0].lost]
+            self.assertEqual((len(wires), len(town.net.wires["f0"])), (1, 1))
+            client.close()
+
+        planned(story)
+
+    def test_one_that_leaves_follows_no_membership_and_dials_nobody(self) -> None:
+        async def story(town: Town, planner: Planner) -> None:
+            client = Planners(town.net.host("f0"), "f0", town.members(), 1, lambda _: None, lambda _: None)
+            client.begin()
+            await asyncio.sleep(1.0)
+            leaving = asyncio.ensure_future(client.leave())
+            await asyncio.sleep(0.0)
+            self.assertFalse(client.move({**town.members(), "p1": town.members()["p0"]}, 2))
+            await leaving
+            await asyncio.sleep(1.0)  # longer than a redial waits
+            self.assertEqual((planner.writers, len(town.net.wires["f0"])), ({}, 1))
+            client.close()
+
+        planned(story)
+
+    def test_what_was_asked_on_a_connection_that_ended_is_asked_anew_on_the_next(self) -> None:
+        book = Book("f", ["p0"], 1)
+        for life in ("e1", "e1", "e2"):
+            book.connected(100.0, "p0", w.Welcome(1, "p0", life, 1, 2000.0))
+            book.spend(100.0, 7, "p", 3, 0)
+            self.assertEqual([type(word) for _, word in book.taken()[0]], [w.Ask])
+            book.lost("p0")
+
+
+    def test_a_grant_whose_ask_is_forgotten_goes_back_whole_once(self) -> None:
+        """As where a SIGHUP brings another membership meanwhile, or its planner was stopped for long."""
+        for forget in (lambda book: book.change(150.0, ["p0", "p1"], 2), lambda book: book.beat(5_200.0)):
+            book = Book("f", ["p0"], 1)
+            book.connected(100.0, "p0", w.Welcome(1, "p0", "e", 1, 2000.0))
+            book.spend(100.0, 7, "p", 3, 0)
+            ((_, asked),) = book.taken()[0]
+            assert isinstance(asked, w.Ask)
+            forget(book)
+            book.taken()
+            for _ in range(2):
+                book.heard(5_300.0, "p0", w.Grant(asked.number, 4, 7, "p", 5, "e"))
+            book.heard(5_300.0, "p0", w.Grant(asked.number, 5, 7, "p", 5, "earlier"))
+            self.assertEqual(book.taken(), ([("p0", w.Back(4, 5, "e"))], []))
+
+
+    def test_a_planner_that_leaves_an_ask_unanswered_is_dialled_anew_one_that_has_none_is_left(self) -> None:
+        """As behind a path that carries nothing more: the system itself gives up after minutes."""
+
+        async def story(town: Town, planner: Planner) -> None:
+            logs: list[m.Log] = []
+            client = Planners(town.net.host("f0"), "f0", town.members(), 1, lambda _: None, logs.append)
+            client.begin()
+            await asyncio.sleep(1.0)
+            town.net.silent = lambda here, there: True  # type: ignore[method-assign]
+            await asyncio.sleep(6.0)
+            self.assertEqual([log for log in logs if log.event == "planner cut"], [])
+            client.spend(m.Spend(7, "p", 3, 0))
+            await asyncio.sleep(3.2)
+            self.assertEqual([log.fields["planner"] for log in logs if log.event == "planner cut"], ["p0"])
+            town.net.silent = lambda here, there: False  # type: ignore[method-assign]
+            await asyncio.sleep(1.5)
+            self.assertEqual(list(client.writers), ["p0"])
+            client.close()
+
+        planned(story, forwarders=1)
+
+
+class Linking(unittest.TestCase):
+    def test_the_last_words_of_a_node_that_leaves_are_heard_though_the_other_speaks_just_then(self) -> None:
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            members = Membership(1, {"n0": ("127.0.0.1", 1), "n1": ("127.0.0.1", 2)})
+            links = Links(Sockets(), "n1", begun(1.0, "x"), members, lambda *_: None, lambda _: None)
+            await links.listen(("127.0.0.1", 0))
+            links.begin()
+            sock = small(socket.socket())
+            await loop.sock_connect(sock, links.listener.sockets[0].getsockname())  # type: ignore[union-attr]
+            await loop.sock_sendall(sock, frame(t.Hello(1, "n0", "2-y", "n1", 1, 1)))
+            while not links.links:
+                await asyncio.sleep(0)
+            for _ in range(10):
+                self.assertTrue(links.send("n0", "t", bytes(4000)))
+
+            async def end() -> None:
+                await links.leave()
+                links.close()
+
+            ending = loop.create_task(end())
+            for _ in range(50):  # all that it does before it waits for anything
+                await asyncio.sleep(0)
+            heard = asyncio.StreamReader(limit=1 << 20)
+            with contextlib.suppress(ConnectionResetError, BrokenPipeError):
+                sock.sendall(frame(t.Ping(1)))
+                while data := await loop.sock_recv(sock, 65536):
+                    heard.feed_data(data)
+            heard.feed_eof()
+            sock.close()
+            await ending
+            words = 0
+            with contextlib.suppress(EOFError):
+                while True:
+                    words += isinstance(await read(heard, t.decoder), t.Word)
+            self.assertEqual(words, 10)
+
+        asyncio.run(main())
+
+    def test_a_word_that_is_here_when_the_links_close_is_not_heard(self) -> None:
+        """Its part is closed by then: a voter would write to a file that is closed."""
+
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n1"]
+            links.links["n0"].writer.transport.came(frame(t.Word("t", b"late")))  # type: ignore[attr-defined]
+            links.close()
+            await asyncio.sleep(0.1)
+
+        self.assertEqual(play(story).heard, [])
+
+    def test_one_that_leaves_follows_no_membership_and_dials_nobody(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            links, other = fleet.links["n0"], fleet.links["n1"]
+            dialled = links.dialled
+            links.links["n1"].writer.transport.pause_reading()  # type: ignore[attr-defined]
+            leaving = asyncio.ensure_future(links.leave())
+            await asyncio.sleep(0.0)
+            self.assertFalse(links.move(Membership(2, {**fleet.membership.members, "n9": address("n9")})))
+            await leaving
+            self.assertEqual((links.dialled, other.standing("n0")), (dialled, State.GONE))
+            await asyncio.sleep(3.0)
+            self.assertEqual(links.dialled, dialled)
+
+        play(story)
+
+    def test_a_connection_ended_for_room_in_the_turn_of_its_hello_replaces_no_link(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n1"]
+            life = links.life_of("n0")
+            line = await fleet.net.host("stranger").dial(address("n1"), 65536)
+            await asyncio.sleep(0.01)
+            (writer,) = links.waiting
+            writer.transport.came(frame(t.Hello(1, "n0", "9999-s", "n1", 1, 1)))  # type: ignore[attr-defined]
+            writer.transport.abort()
+            await asyncio.sleep(0.1)
+            self.assertEqual((links.life_of("n0"), links.standing("n0")), (life, State.LIVE))
+            line.writer.close()
+
+        play(story)
+
+    def test_a_hello_and_a_membership_without_its_sender_in_one_turn_leave_no_link(self) -> None:
+        for hello_first in (True, False):
+
+            async def story(fleet: Fleet, hello_first: bool = hello_first) -> None:
+                links = fleet.links["n2"]
+                line = await fleet.net.host("stranger").dial(address("n2"), 65536)
+                await asyncio.sleep(0.01)
+                (writer,) = links.waiting
+                far: Any = writer.transport
+                far.came(frame(t.Hello(1, "n0", "9999-s", "n2", 1, 1)))
+                if hello_first:
+                    await asyncio.sleep(0)  # the hello is judged
+                links.move(Membership(2, {name: address(name) for name in ("n1", "n2")}))
+                await asyncio.sleep(0.1)
+                self.assertEqual((list(links.links), links.standing("n0")), (["n1"], State.GONE))
+                self.assertEqual((links.waiting, links.standing("n1")), ({}, State.LIVE))
+                line.writer.close()
+
+            with self.subTest(hello_first=hello_first):
+                fleet = play(story, begin=1)
+                self.assertEqual(fleet.said("n2", "fault"), [])
+
+    def test_a_frame_cut_at_any_byte_is_no_word_and_the_next_connection_is_taken(self) -> None:
+        word = frame(t.Word("t", b"whole"))
+
+        async def story(fleet: Fleet) -> None:
+            for dial in range(1, len(word) + 1):
+                line = await fleet.stranger("n2", dial=dial)
+                line.writer.write(word[:dial])
+                line.writer.close()
+                await asyncio.sleep(0.1)
+                self.assertEqual(fleet.links["n2"].standing("n0"), State.GONE)
+                self.assertEqual(fleet.links["n2"].last["n0"], ("9999-s", dial))
+
+        fleet = play(story, begin=1)
+        self.assertEqual([body for *_, body in fleet.heard], [b"whole"])
+        self.assertEqual(fleet.said("n2", "fleet connection ended"), [])
+
+    def test_told_to_end_with_half_a_hello_read_it_does_not_wait_for_the_rest(self) -> None:
+        hello = frame(t.Hello(1, "n0", "9999-s", "n1", 1, 1))
+
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n1"]
+            line = await fleet.net.host("stranger").dial(address("n1"), 65536)
+            line.writer.write(hello[:10])
+            await asyncio.sleep(0.01)
+            begun_at = asyncio.get_running_loop().time()
+            await links.leave()
+            line.writer.write(hello[10:])
+            await asyncio.sleep(0.01)
+            self.assertLess(asyncio.get_running_loop().time() - begun_at, 0.1)
+            self.assertEqual((links.links, links.waiting), ({}, {}))
+            links.close()
+
+        self.assertEqual(play(story).said("n1", "fault"), [])
+
+    def test_a_link_reset_and_dialled_again_in_one_turn_is_one_link_and_says_nothing_twice(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            links = fleet.links["n2"]
+            first = await fleet.stranger("n2", dial=1)
+            second = await fleet.net.host("n0").dial(address("n2"), 65536)
+            await asyncio.sleep(0.1)
+            old: Any = links.links["n0"].writer.transport
+            far: Any = next(iter(links.waiting)).transport
+            old.came(frame(t.Word("t", b"old")))
+            far.came(frame(t.Hello(1, "n0", "9999-s", "n2", 2, 1)) + frame(t.Word("t", b"new")))
+            old.cut()
+            await asyncio.sleep(0.1)
+            self.assertEqual((links.standing("n0"), links.last["n0"][1]), (State.LIVE, 2))
+            self.assertEqual(links.waiting, {})
+            first.writer.close()
+            second.writer.close()
+
+        fleet = play(story, begin=1)
+        self.assertEqual([body for *_, body in fleet.heard], [b"new"])
+
+    def test_a_reload_before_the_links_begin_leaves_one_dial_a_peer(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            host, life = fleet.net.host("n0"), begun(5000.0, "x")
+            links = Links(host, "n0", life, fleet.membership, print, lambda _: None)
+            links.move(Membership(2, fleet.membership.members))
+            links.begin()
+            await asyncio.sleep(3.0)
+            self.assertEqual((links.dialled, sorted(links.links)), (2, ["n1", "n2"]))
+            links.close()
+
+        play(story, begin=1)
