Checker and seeds as small packages, no change of behaviour

Change: lab/rules/ (parts, checker) and lab/seeds/ (script, faults, play, many), names and imports as before.

--- /dev/null
+++ b/onyxpost/lab/rules/parts.py
@@ -0,0 +1,67 @@
+"""What the checker's rules are called, and what it remembers of reqs, ceilings and cold servers."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from onyxpost.interface import Frontend
+
+ANSWERS, EFFECTS, DRAINS, COLD, CEILINGS = "answers", "effects", "drains", "cold", "ceilings"
+RULES = (ANSWERS, EFFECTS, DRAINS, COLD, CEILINGS)
+FINALS = ("passed", "denied", "aborted")
+
+
+class Breach(NamedTuple):
+    rule: str
+    at: float
+    node: str
+    req: str
+    server: str
+    what: str
+
+
+@dataclass(slots=True)
+class Sent:
+    server: str
+    zone: str
+    cell: int
+    at: float
+    may_have_run: bool = True
+
+
+@dataclass(slots=True)
+class Taken:
+    node: str
+    req: str
+    frontend: Frontend
+    customer: str
+    units: int
+    leaves: float
+    sent: list[Sent] = field(default_factory=list)
+    final: str = ""
+    left: bool = False  # the client has gone, or the node died: no answer is owed any more
+
+
+class Bucket:
+    """A ceiling: what all nodes together may still send on for one customer."""
+
+    def __init__(self, now: float, rate: float, burst: float, slack: float) -> None:
+        self.at, self.rate, self.burst, self.slack, self.level = now, rate, burst, slack, burst
+        self.lowest = burst
+
+    def draw(self, now: float, units: float) -> bool:
+        self.level = min(self.burst, self.level + self.rate * (now - self.at) / 1000.0) - units
+        self.at, self.lowest = now, min(self.lowest, self.level)
+        return self.level >= -self.slack
+
+
+class Starting:
+    """One server's life while it is cold, and the work that reached it of late."""
+
+    def __init__(self, started: float, capacity: float) -> None:
+        self.started, self.capacity = started, capacity
+        self.came: deque[tuple[float, float]] = deque()
+        self.sum = 0.0
+        self.told = False
--- /dev/null
+++ b/onyxpost/lab/seeds/faults.py
@@ -0,0 +1,178 @@
+"""How each fault is begun, and ended after its time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from onyxpost.interface import Standing
+from onyxpost.lab.cluster import Cluster
+from onyxpost.lab.seeds.script import EDGES, Fault
+from onyxpost.lab.standins import AppServer
+
+
+class Playing(Protocol):
+    """The run that faults are put into."""
+
+    seed: int
+    cluster: Cluster
+
+    def spawn(self, coroutine: Any) -> None: ...
+    def client(self, chance: Random, edge: Any, patience: float | None = None) -> None: ...
+
+
+class Faults:
+    """One method a kind, by its name."""
+
+    def __init__(self, playing: Playing) -> None:
+        self.playing, self.seed, self.cluster = playing, playing.seed, playing.cluster
+
+    def begin(self, fault: Fault) -> None:
+        getattr(self, fault.kind.replace("-", "_"))(fault)
+
+    def later(self, fault: Fault, call: Callable[..., Any], *args: Any) -> None:
+        asyncio.get_running_loop().call_later(fault.lasts, call, *args)
+
+    def server(self, fault: Fault) -> AppServer:
+        return self.cluster.servers[fault.whom]
+
+    def behave(self, fault: Fault, how: str) -> None:
+        server = self.server(fault)
+        server.how = how
+        self.later(fault, setattr, server, "how", "serve")
+
+    def hang(self, fault: Fault) -> None:
+        self.behave(fault, "hang")
+
+    def fail(self, fault: Fault) -> None:
+        self.behave(fault, "fail")
+
+    def busy(self, fault: Fault) -> None:
+        self.behave(fault, "busy")
+
+    def drop(self, fault: Fault) -> None:
+        self.behave(fault, "drop")
+
+    def slow(self, fault: Fault) -> None:
+        server = self.server(fault)
+        server.delay = 20.0 + 900.0 * fault.more
+        self.later(fault, setattr, server, "delay", 20.0)
+
+    def break_(self, fault: Fault) -> None:
+        """The next connections to it break at some byte, of the req or of the answer."""
+        plan = self.cluster.net.break_next[self.server(fault).host]
+        for i in range(1 + int(4 * fault.lasts)):
+            plan.append((int(fault.more * 97 + i) % 2, 1 + int(fault.more * 1009 + 61 * i) % 320))
+
+    def reset(self, fault: Fault) -> None:
+        self.cluster.net.reset_some(self.server(fault).host)
+
+    def spoil(self, fault: Fault) -> None:
+        self.server(fault).spoil += ["short", "twice", "noise", "long"][: 1 + int(4 * fault.more)]
+
+    def cut(self, fault: Fault) -> None:
+        self.cut_off(fault, self.server(fault).host)
+
+    def edge_cut(self, fault: Fault) -> None:
+        """Cut off from app servers and peers; its clients and its agent are on its own machine's side."""
+        self.cut_off(fault, self.cluster.servers[0].host)
+        self.cut_off(fault, self.cluster.servers[1].host)
+
+    def cut_off(self, fault: Fault, host: str) -> None:
+        self.cluster.net.cut_off.add(host)
+        self.later(fault, self.cluster.net.cut_off.discard, host)
+
+    def drain(self, fault: Fault) -> None:
+        server = self.server(fault)
+        if server.standing is Standing.READY:
+            server.standing = Standing.DRAINING
+            self.cluster.change(server)
+            self.later(fault, self.spawn_renew, server)
+
+    def crash(self, fault: Fault) -> None:
+        server = self.server(fault)
+        self.cluster.net.die(server.host)
+        self.later(fault, self.spawn_renew, server)
+
+    def spawn_renew(self, old: AppServer) -> None:
+        self.playing.spawn(self.renew(old))
+
+    async def renew(self, old: AppServer) -> None:
+        """Another process at the address, under an id of its own."""
+        c = self.cluster
+        if c.servers[old.number] is not old:
+            return
+        c.net.die(old.host)
+        old.standing = Standing.GONE
+        c.change(old)
+        new = c.servers[old.number] = c.server(old.number, old.life + 1)
+        new.started = new.net.clock()
+        c.rules.server_started(c.now(), new.id, 4.0)
+        with contextlib.suppress(OSError):
+            await new.open()
+        c.change(new)
+
+    def drain_on_reset(self, fault: Fault) -> None:
+        """A keyed req may have run on a server, and in the same tick every node is told that it drains."""
+        server = self.cluster.servers[fault.whom]
+        if server.standing is not Standing.READY:
+            return
+        server.standing = Standing.DRAINING
+        row = server.row()
+        for edge in self.cluster.edges:
+            for agent in edge.agents:
+                agent.learn(row)
+        self.cluster.net.reset_some(server.host)
+        self.later(fault, self.spawn_renew, server)
+
+    def cross(self, fault: Fault) -> None:
+        """Clients leave in the very ms in which their answers are due."""
+        chance = Random(f"{self.seed}/cross/{fault.at}")
+        for edge in self.cluster.edges:
+            for _ in range(3):
+                self.playing.client(chance, edge, 20.0 + chance.uniform(0.0, 14.0))
+
+    def burst(self, fault: Fault) -> None:
+        chance = Random(f"{self.seed}/burst/{fault.at}")
+        for _ in range(12):
+            self.playing.client(chance, self.cluster.edges[chance.randrange(EDGES)])
+
+    def loss(self, fault: Fault) -> None:
+        self.cluster.net.loses = fault.more
+        self.later(fault, setattr, self.cluster.net, "loses", 0.0)
+
+    def lists_late(self, fault: Fault) -> None:
+        self.cluster.lateness = fault.more
+        self.later(fault, setattr, self.cluster, "lateness", 0.0)
+
+    def agent_silent(self, fault: Fault) -> None:
+        for agent in self.cluster.edges[fault.whom].agents:
+            agent.silent = True
+            self.later(fault, setattr, agent, "silent", False)
+
+    def kill(self, fault: Fault) -> None:
+        edge = self.cluster.edges[fault.whom]
+        if edge.program is not None:
+            edge.kill()
+            self.later(fault, self.revive, edge)
+
+    def revive(self, edge: Any) -> None:
+        if edge.program is None:
+            edge.start()
+
+    def term(self, fault: Fault) -> None:
+        edge = self.cluster.edges[fault.whom]
+        if edge.program is not None:
+            self.playing.spawn(edge.stop())
+
+    def hup(self, fault: Fault) -> None:
+        edge = self.cluster.edges[fault.whom]
+        if edge.program is not None:
+            edge.agent = 1 - edge.agent
+            edge.net.reread()
+
+
+setattr(Faults, "break", Faults.break_)
--- /dev/null
+++ b/onyxpost/lab/seeds/play.py
@@ -0,0 +1,105 @@
+"""One script's run on the virtual clock, from its first req to the digest of all that happened."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import hashlib
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from onyxpost.edge.program import Program
+from onyxpost.lab import virtual
+from onyxpost.lab.cluster import Cluster
+from onyxpost.lab.plants import PLANTS
+from onyxpost.lab.rules import Breach
+from onyxpost.lab.seeds.faults import Faults
+from onyxpost.lab.seeds.script import EDGES, SECONDS, SERVERS, Fault, script
+
+
+class Outcome(NamedTuple):
+    seed: int
+    breaches: list[Breach]
+    faults: list[Fault]
+    asked: int
+    passed: int
+    steps: int
+    digest: str  # of all that happened, in its order
+
+    @property
+    def failed(self) -> bool:
+        return bool(self.breaches)
+
+
+class Play:
+    """One script's run."""
+
+    def __init__(self, seed: int, faults: list[Fault], plant: Callable[[Program], None] | None) -> None:
+        self.seed, self.faults, self.plant = seed, faults, plant
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.history: list[str] = []
+        self.asked = 0
+
+    def spawn(self, coroutine: Any) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self) -> Outcome:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        c = self.cluster = Cluster(self.seed, EDGES, SERVERS, self.plant)
+        await c.open()
+        await asyncio.sleep(0.05)
+        faults = Faults(self)
+        for fault in self.faults:
+            loop.call_at(fault.at, self.begin, faults, fault)
+        clients = Random(f"{self.seed}/clients")
+        while loop.time() < SECONDS:
+            self.client(clients, c.edges[clients.randrange(EDGES)])
+            await asyncio.sleep(clients.expovariate(12.0))
+        while any(not task.done() for task in self.tasks):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.5)
+        c.rules.check(c.now())
+        for edge in c.edges:
+            edge.kill()
+        digest = _digest(self.history, c)
+        return Outcome(
+            self.seed, list(c.rules.breaches), self.faults, c.asked, c.passed, c.rules.steps, digest
+        )
+
+    def client(self, chance: Random, edge: Any, patience: float | None = None) -> None:
+        self.asked += 1
+        frontend = chance.choice(("look", "post", "pay"))
+        plan, customer = chance.choice((("open", 1), ("open", 2), ("tight", 3)))
+        timeout = self.cluster.frontends[frontend].client_timeout
+        stays = timeout * chance.uniform(0.4, 1.0) if chance.random() < 0.15 else timeout + 300.0
+        units = chance.randint(1, 3)
+        self.spawn(self.ask(f"t{self.asked}", edge, frontend, plan, customer, units, patience or stays))
+
+    async def ask(self, trace: str, edge: Any, *what: Any) -> None:
+        final = await self.cluster.ask(trace, edge, *what)
+        self.cluster.rules.check(self.cluster.now())
+        self.history.append(f"{self.cluster.now():.3f} {trace} {final}")
+
+    def begin(self, faults: Faults, fault: Fault) -> None:
+        self.history.append(f"{self.cluster.now():.3f} {fault.kind} {fault.whom}")
+        faults.begin(fault)
+
+
+def _digest(history: list[str], cluster: Cluster) -> str:
+    told = [*history, *map(str, cluster.logged), *map(str, cluster.rules.breaches)]
+    return hashlib.sha256("\n".join(told).encode()).hexdigest()[:16]
+
+
+def play(seed: int, faults: list[Fault] | None = None, plant: str = "") -> Outcome:
+    """The collector rests meanwhile: tasks of a killed node that it finds would be told as a fault."""
+    chosen, collects = script(seed) if faults is None else faults, gc.isenabled()
+    gc.disable()
+    try:
+        return virtual.run(Play(seed, chosen, PLANTS[plant]).run())  # type: ignore[no-any-return]
+    finally:
+        if collects:
+            gc.enable()
