Checker: client gone, told within 6 s and the cold sum, each held to its border by hand

Parts of their own: rules/gone.py (attempts begun over 0.1 s after the client went, from the third on; first ones that waited, over a quarter and five sent on over 0.3 s later), rules/telling.py (what a node heard, and what counts as told 6 s after discovery had it), rules/cold.py (calls in the window: N + 2 sqrt(N) + 2, over two thirds of them from nodes told of the start). The older rules stay as they are: the one on work at cold servers, with no allowance for chance, still holds for emulator and rig. The rig's judge feeds calls, and clients that leave; connections that were cut are no client that left. Result: tests/test_rules.py feeds each just inside (no breach) and just beyond (breach with rule, req and time).

--- a/onyxpost/lab/fleet.py
+++ b/onyxpost/lab/fleet.py
@@ -142,7 +142,7 @@
             self.clock.at(event.at_s * 1000.0, getattr(self, "begin_" + type(event).__name__.lower()), event)
         self.clock.at(100.0, self.look)
         self.clock.run(until)
-        self.rules.check(self.clock.now)
+        self.rules.finish(self.clock.now)
 
     def second(self) -> Counter[str]:
         return self.seconds[min(len(self.seconds) - 1, int(self.clock.now // 1000.0))]
--- a/onyxpost/lab/rig/edge_rules.py
+++ b/onyxpost/lab/rig/edge_rules.py
@@ -1,4 +1,4 @@
-"""The five rules as they can be seen from outside: at clients, at relays and at app servers. Pure.
+"""The rules as they can be seen from outside: at clients, at relays and at app servers. Pure.
 
 What a node sent is judged as its relay took it; what ran, as it reached the app server. The order within
 `CROSSING` ms of an answer is not known: two sockets are read in any order.
@@ -41,7 +41,7 @@
             "told": lambda e: rules.list_told(e["t"], e["node"], e["server"], Standing(e["standing"])),
             "process": lambda e: self.process(rules, e),
             "gone": lambda e: self.gone(rules, told, e),
-            "server": lambda e: rules.server_started(e["t"], e["server"], e["capacity"]),
+            "server": lambda e: rules.server_started(e["t"], e["server"], e["capacity"], e["call"]),
             "reached": lambda e: self.reached(rules, told, e),
         }
         moved = [(self.moment(e, away, late), i, e) for i, e in enumerate(events)
@@ -49,7 +49,7 @@
         for t, _, event in sorted(moved, key=lambda one: one[:2]):
             rules.check(t - CROSSING - lag)  # answers are read that much later
             play[event["event"]](event | {"t": t} if event["event"] == "told" else event)
-        rules.check(float("inf"))
+        rules.finish(float("inf"))
         last = float(events[-1]["t"]) if events else 0.0
         found = [
             (b.rule, min(b.at, last), b.node, f"req {b.req} {b.server}: {b.what}") for b in rules.breaches
@@ -69,7 +69,7 @@
         leaves = e["t"] + f.client_timeout
         rules.taken(e["t"], e["node"], e["trace"], f, e["customer"], e["units"], leaves)
         if away.within(e["node"], e["t"], leaves + SLACK) or late.within(e["node"], e["t"], leaves + SLACK):
-            rules.client_left(e["t"], e["node"], e["trace"])  # nothing is owed in time by who does not run
+            rules.excused(e["node"], e["trace"])  # nothing is owed in time by who does not run
 
     def answered(self, rules: Rules, told: dict[str, Event], e: Event) -> None:
         asked = told[e["trace"]]
@@ -94,13 +94,17 @@
             rules.node_died(e["t"], e["node"])
 
     def gone(self, rules: Rules, told: dict[str, Event], e: Event) -> None:
-        """Cut or timed out: judged in `outside`, and by the client timeout."""
-        if e["how"] != "timed out":
+        """Cut or timed out: judged in `outside`, and by the client timeout. One that left is gone."""
+        if e["how"] == "left":
             rules.client_left(e["t"], told[e["trace"]]["node"], e["trace"])
+        elif e["how"] != "timed out":
+            rules.excused(told[e["trace"]]["node"], e["trace"])
 
     def reached(self, rules: Rules, told: dict[str, Event], e: Event) -> None:
         asked = told.get(e["trace"])
-        rules.work_came(e["t"], e["server"], e["work"], asked["node"] if asked else "", e["trace"])
+        node = asked["node"] if asked else ""
+        rules.work_came(e["t"], e["server"], e["work"], node, e["trace"])
+        rules.call_came(e["t"], e["server"], node, e["trace"])
 
     def unheard(self, e: Event, away: Away) -> bool:
         return any(a <= e["t"] <= b for a, b in away.dead.get(e["node"], ()))
@@ -111,7 +115,7 @@
         for e in events:
             if e["event"] == "more":
                 found.append((ANSWERS, e["t"], told[e["trace"]]["node"], f"req {e['trace']}: {e['what']}"))
-            if e["event"] not in ("gone", "refused") or e.get("how") == "timed out":
+            if e["event"] not in ("gone", "refused") or e.get("how") in ("timed out", "left"):
                 continue
             asked = told[e["trace"]] if e["event"] == "gone" else e
             node, begin = asked["node"], float(asked["t"])
--- a/onyxpost/lab/rig/edge_stage.py
+++ b/onyxpost/lab/rig/edge_stage.py
@@ -143,7 +143,7 @@
         self.ground.relays.reset_all(base(old.host), old.host)
         new = self.server(old.number, old.life + 1)
         new.started = time.time() * 1000.0
-        self.ground.record("server", server=new.id, capacity=CORES)
+        self.ground.record("server", server=new.id, capacity=CORES, call=DELAY)
         await self.listen(new)
         self.servers[old.number] = new
         await self.spread(old)
--- a/onyxpost/lab/rules/checker.py
+++ b/onyxpost/lab/rules/checker.py
@@ -1,8 +1,9 @@
-"""The five rules, checked after every step by whoever hosts a node: emulator, virtual clock or sockets.
+"""The rules, checked after every step by whoever hosts a node: emulator, virtual clock or sockets.
 
 No I/O and no clock. The host tells what happened, at its own time in ms; a broken rule becomes a `Breach`
 that names the rule, req, node, server and time. What a node could know and what was so are both told: the
-rules on effects and drains go by what the node was told, the one on cold servers by what reached the server.
+rules on effects and drains go by what the node was told, or counts as told, those on cold servers by what
+reached the server.
 """
 
 from __future__ import annotations
@@ -10,9 +11,13 @@
 from collections.abc import Iterable
 
 from onyxpost.interface import ColdRule, Effect, Frontend, Group, Plan, Standing
+from onyxpost.lab.rules.cold import Starting
+from onyxpost.lab.rules.gone import Gone
 from onyxpost.lab.rules.parts import (
-    ANSWERS, CEILINGS, COLD, DRAINS, EFFECTS, FINALS, Breach, Bucket, Sent, Starting, Taken,
+    ANSWERS, CEILINGS, COLD, COLD_SUM, DRAINS, EFFECTS, FINALS, GONE, GONE_FIRSTS, TOLD, Breach, Bucket,
+    Sent, Taken,
 )  # fmt: skip
+from onyxpost.lab.rules.telling import COUNTS, Telling
 
 
 class Rules:
@@ -20,13 +25,13 @@
         self, *, grace: float, cold: ColdRule, plans: Iterable[Plan], slack: float = 0.0,
         ceiling_slack: float = 0.1, largest: int = 1,
     ) -> None:  # fmt: skip
-        self.grace, self.cold, self.slack = grace, cold, slack
+        self.grace, self.cold_rule, self.slack = grace, cold, slack
         self.plans = {plan.name: plan for plan in plans}
         self.ceiling_slack, self.largest = ceiling_slack, largest
         self.breaches: list[Breach] = []
         self.reqs: dict[tuple[str, str], Taken] = {}
         self.owed: dict[tuple[str, str], Taken] = {}
-        self.told: dict[tuple[str, str], float] = {}  # (node, server): when first told not to send there
+        self.telling, self.gone = Telling(), Gone(slack)
         self.buckets: dict[str, Bucket] = {}
         self.starting: dict[str, Starting] = {}
         self.steps = 0
@@ -49,15 +54,18 @@
         """Its last byte is at the server; `began`: when its first byte left."""
         self.steps += 1
         first_byte = at if began is None else began
-        told = self.told.get((node, server))
-        if told is not None and first_byte > told + self.grace + self.slack:
-            self.breach(DRAINS, at, node, req, server, f"sent {first_byte - told:.0f} ms after it was told")
+        told = self.telling.not_to_send(node, server)
+        if told is not None and first_byte > told.at + self.grace + self.slack:
+            rule, how = (DRAINS, "it was") if told.heard else (TOLD, "its drain counted as")
+            self.breach(rule, at, node, req, server, f"sent {first_byte - told.at:.0f} ms after {how} told")
         taken = self.reqs.get((node, req))
         if taken is None:
             self.breach(ANSWERS, at, node, req, server, "sent on, but no client asked")
             return
         if taken.final:
             self.breach(ANSWERS, at, node, req, server, f"sent on after it was {taken.final}")
+        if what := self.gone.sent(taken, first_byte, server):
+            self.breach(GONE, at, node, req, server, what)
         self._effects(taken, at, server, zone, cell)
         if not taken.sent and plan:
             self._ceiling(taken, at, server, self.plans[plan])
@@ -106,7 +114,14 @@
             self.breach(EFFECTS, at, node, req, risky.server, "denied though it may have run")
 
     def client_left(self, at: float, node: str, req: str) -> None:
+        """It closed or cancelled: no answer is owed, and nothing more is to be sent on."""
         self.steps += 1
+        if taken := self.owed.pop((node, req), None):
+            taken.left, taken.left_at = True, at
+            self.gone.left(taken)
+
+    def excused(self, node: str, req: str) -> None:
+        """No answer in time is owed any more, though its client may still wait."""
         if taken := self.owed.pop((node, req), None):
             taken.left = True
 
@@ -114,65 +129,81 @@
         """What it held is no longer its duty, and its next life is told anew."""
         for key in [key for key in self.owed if key[0] == node]:
             self.owed.pop(key).left = True
-        for key in [key for key in self.told if key[0] == node]:
-            del self.told[key]
+        self.telling.died(node)
 
     def forget(self, node: str, req: str) -> None:
         """Nothing more can come of this req: a long run need not hold it."""
         self.reqs.pop((node, req), None)
 
     def check(self, now: float) -> None:
-        """After a step, and once more at the end: no one waits past their time."""
+        """After a step: no one waits past their time."""
         for key, taken in list(self.owed.items()):
             if now > taken.leaves + self.slack:
                 self.breach(ANSWERS, now, taken.node, taken.req, "", "no answer by the client timeout")
                 taken.left = True
                 del self.owed[key]
 
+    def finish(self, now: float) -> None:
+        """Once, at the end: also what is judged over the whole run."""
+        self.check(now)
+        if (last := self.gone.many_firsts()) is not None:
+            self.breaches.append(last._replace(rule=GONE_FIRSTS))
+
     # Servers
 
     def list_told(self, at: float, node: str, server: str, standing: Standing) -> None:
         self.steps += 1
-        if standing is Standing.READY:
-            self.told.pop((node, server), None)
-        else:
-            self.told.setdefault((node, server), at)
+        self.telling.heard(at, node, server, standing)
+
+    def discovery_has(
+        self, at: float, node: str, server: str, standing: Standing, within: float = COUNTS
+    ) -> None:
+        """The node could hear of it from now on, whatever becomes of its calls; counts `within` ms later."""
+        self.steps += 1
+        self.telling.held(at, node, server, standing, within)
 
-    def server_started(self, at: float, server: str, capacity: float) -> None:
-        """`capacity`: ms of work that it does in one ms when warm."""
-        self.starting[server] = Starting(at, capacity)
+    def discovery_moved(self, node: str) -> None:
+        """What the node's new discovery has is to be told anew by `discovery_has`."""
+        self.telling.moved(node)
+
+    def server_started(self, at: float, server: str, capacity: float, call: float = 1.0) -> None:
+        """`capacity`: ms of work that it does in one ms when warm; `call`: ms of work of a usual call."""
+        self.starting[server] = Starting(at, capacity, call)
 
     def server_gone(self, server: str) -> None:
         self.starting.pop(server, None)
 
+    def cold(self, at: float, server: str) -> Starting | None:
+        one = self.starting.get(server)
+        if one is not None and at - one.started >= self.cold_rule.warm_ms:
+            del self.starting[server]
+            return None
+        return one
+
     def work_came(self, at: float, server: str, work: float, node: str = "", req: str = "") -> bool:
         """False: it was pushed over, by all nodes together; `work` in ms of a warm core."""
         self.steps += 1
-        one = self.starting.get(server)
-        if one is None:
-            return True
-        rule, age = self.cold, at - one.started
-        if age >= rule.warm_ms:
-            del self.starting[server]
+        if (one := self.cold(at, server)) is None:
             return True
-        one.came.append((at, work))
-        one.sum += work
-        while one.came and one.came[0][0] <= at - rule.window_ms:
-            one.sum -= one.came.popleft()[1]
-        share = max(rule.start_share, age / rule.warm_ms)
-        able = one.capacity * share * rule.window_ms * rule.multiple
+        one.work_came(self.cold_rule, at, work)
+        able = one.able(self.cold_rule, at)
         if one.sum > able and not one.told:
             one.told = True
             self.breach(COLD, at, node, req, server, f"{one.sum:.0f} ms of work where {able:.0f} is the most")
         return one.sum <= able
 
+    def call_came(self, at: float, server: str, node: str, req: str) -> None:
+        """The same for hosts whose servers get calls of like work: counted, with what chance adds."""
+        self.steps += 1
+        if (one := self.cold(at, server)) is None:
+            return
+        if what := one.call_came(self.cold_rule, at, self.telling.of_start(at, node, server)):
+            self.breach(COLD_SUM, at, node, req, server, what)
+
     def cold_load(self, server: str) -> float:
         """The part of the most that a cold server bears which reached it of late."""
         one = self.starting.get(server)
-        if one is None or not one.came:
-            return 0.0
-        share = max(self.cold.start_share, (one.came[-1][0] - one.started) / self.cold.warm_ms)
-        return one.sum / (one.capacity * share * self.cold.window_ms * self.cold.multiple)
+        return one.sum / one.able(self.cold_rule, one.came[-1][0]) if one is not None and one.came else 0.0
 
     # Ceilings
 
--- a/onyxpost/lab/rules/parts.py
+++ b/onyxpost/lab/rules/parts.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from onyxpost.interface import Frontend
 
 ANSWERS, EFFECTS, DRAINS, COLD, CEILINGS = "answers", "effects", "drains", "cold", "ceilings"
-RULES = (ANSWERS, EFFECTS, DRAINS, COLD, CEILINGS)
+# Sent on for a client that has gone; the same of too many that waited; a drain that counts as told, heard or
+# not; calls to a cold server past what is allowed and past chance.
+GONE, GONE_FIRSTS, TOLD, COLD_SUM = "gone", "gone firsts", "told", "cold sum"
+RULES = (ANSWERS, EFFECTS, DRAINS, COLD, CEILINGS, GONE, GONE_FIRSTS, TOLD, COLD_SUM)
 FINALS = ("passed", "denied", "aborted")
 
 
@@ -42,6 +44,7 @@
     sent: list[Sent] = field(default_factory=list)
     final: str = ""
     left: bool = False  # the client has gone, or the node died: no answer is owed any more
+    left_at: float | None = None  # the client closed or cancelled
 
 
 class Bucket:
@@ -55,13 +58,3 @@
         self.level = min(self.burst, self.level + self.rate * (now - self.at) / 1000.0) - units
         self.at, self.lowest = now, min(self.lowest, self.level)
         return self.level >= -self.slack
-
-
-class Starting:
-    """One server's life while it is cold, and the work that reached it of late."""
-
-    def __init__(self, started: float, capacity: float) -> None:
-        self.started, self.capacity = started, capacity
-        self.came: deque[tuple[float, float]] = deque()
-        self.sum = 0.0
-        self.told = False
--- a/onyxpost/lab/seeds/play.py
+++ b/onyxpost/lab/seeds/play.py
@@ -62,7 +62,7 @@
         while any(not task.done() for task in self.tasks):
             await asyncio.sleep(0.1)
         await asyncio.sleep(1.5)
-        c.rules.check(c.now())
+        c.rules.finish(c.now())
         for edge in c.edges:
             edge.kill()
         digest = _digest(self.history, c)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -26,7 +26,7 @@
 from onyxpost.lab.rig.relay import Manner, Relays
 from onyxpost.lab.rig.script import Fault
 from onyxpost.lab.rig.taker import Taker
-from onyxpost.lab.rules import ANSWERS, CEILINGS, DRAINS, EFFECTS
+from onyxpost.lab.rules import ANSWERS, CEILINGS, COLD, COLD_SUM, DRAINS, EFFECTS, GONE
 
 pytestmark = pytest.mark.xdist_group("quiet")  # many processes: not beside what measures time
 
@@ -185,6 +185,16 @@
             for e in (asked(i, r, "look", "tight"), sent(i + 1.0, 0, r), done(i + 9.0, trace=r))
         ]  # fmt: skip
         told = at(0.0, "told", node="n0", server="s0-0", standing="draining")
+        left = [
+            e for r in ("r0", "r1", "r2")
+            for e in (asked(0.0, r), at(20.0, "gone", trace=r, how="left"), sent(180.0, 0, r))
+        ]  # fmt: skip
+        started = [at(0.0, "server", server="s0-0", capacity=0.1, call=20.0),
+                   at(0.0, "told", node="n0", server="s0-0", standing="ready")]
+        calls = [
+            e for i in range(11) for r in (f"r{i}",)
+            for e in (asked(1.0, r), reached(2.0, 0, i) | {"trace": r}, done(9.0, trace=r))
+        ]  # fmt: skip
         for rule, events in (
             (ANSWERS, [asked(0.0), gone]), (ANSWERS, [asked(0.0), cut]),
             (ANSWERS, [asked(0.0), done(1290.0)]),
@@ -195,10 +205,13 @@
             (EFFECTS, [asked(0.0), reached(1.0), reached(300.0, 1, 2), done(340.0)]),
             (EFFECTS, [asked(0.0, frontend="post"), sent(1.0), sent(700.0, 2), done(740.0)]),
             (DRAINS, [told, asked(300.0), sent(301.0), done(340.0)]), (CEILINGS, burst),
+            (GONE, left),
             ("faults", [at(5.0, "fault", node="n1", cause="ValueError")]),
             ("faults", [process(5.0, "overstayed")]),
         ):  # fmt: skip
             self.assertEqual(self.rules(*events), [rule], events)
+        self.assertEqual(self.rules(*started, *calls), [COLD, COLD_SUM])
+        self.assertEqual(self.rules(*started, *calls[:-3]), [COLD])  # chance is borne in calls, not in work
 
     def test_what_faults_excuse_is_no_breach(self) -> None:
         late = done(1290.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,16 +1,18 @@
-"""Each of the five rules: a breach that is put there is reported with its req, node, server and time."""
+"""Each of the rules: a breach that is put there is reported with its req, node, server and time."""
 
 import unittest
 
 from onyxpost.interface import ColdRule, Effect, Frontend, Group, Plan, Standing
-from onyxpost.lab.rules import ANSWERS, CEILINGS, COLD, DRAINS, EFFECTS, Breach, Rules
+from onyxpost.lab.rules import (
+    ANSWERS, CEILINGS, COLD, COLD_SUM, DRAINS, EFFECTS, GONE, GONE_FIRSTS, TOLD, Breach, Rules,
+)  # fmt: skip
 
 
 def frontend(effect: Effect, group: Group = Group.ALL) -> Frontend:
     return Frontend("f", 500.0, 2000.0, effect, group, 1000.0, 1.0, 0.0, 0.0, False)
 
 
-class Checked(unittest.TestCase):
+class Checking(unittest.TestCase):
     def setUp(self) -> None:
         plans = [Plan("p", 1.0, 4.0, 0, 1.0, 2.0, 10.0)]
         self.rules = Rules(grace=250.0, cold=ColdRule(0.2, 10_000.0, 4.0, 1000.0), plans=plans, largest=2)
@@ -25,6 +27,8 @@
         (one,) = self.rules.breaches
         self.assertEqual((one.rule, one.at, one.node, one.req, one.server), (rule, at, "n1", req, server))
 
+
+class Checked(Checking):
     def test_a_good_day_breaks_nothing(self) -> None:
         self.take(effect=Effect.KEYED)
         self.send(10.0)
@@ -112,3 +116,158 @@
         self.assertEqual(self.rules.breaches, [
             Breach(CEILINGS, 10.0, "n0", "r6", "s1", "customer c is 4.0 units past its ceiling")
         ])  # fmt: skip
+
+
+class Gone(Checking):
+    """Sent on for a client that closed or cancelled. The slack of the checker comes to each limit."""
+
+    SLACK = 50.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rules = Rules(grace=250.0, cold=self.rules.cold_rule, plans=[], slack=self.SLACK)
+
+    def leave(self, count: int, sent_before: bool = False) -> None:
+        for number in range(count):
+            self.take(f"r{number}")
+            if sent_before:
+                self.send(10.0, req=f"r{number}")
+            self.rules.client_left(100.0, "n1", f"r{number}")
+
+    def test_attempts_begun_over_a_tenth_of_a_second_later_break_it_from_the_third_on(self) -> None:
+        for sent_before in (False, True):  # first ones, and further ones
+            self.setUp()
+            self.leave(9, sent_before)
+            for number in range(6):
+                self.send(250.0, "s2", f"r{number}")  # 150 ms: just inside
+            self.send(250.1, "s2", "r6")
+            self.send(250.1, "s2", "r7")
+            self.rules.finish(9000.0)
+            self.assertEqual(self.rules.breaches, [])
+            self.send(251.0, "s2", "r8")
+            self.only(GONE, 251.0, "r8", "s2")
+
+    def test_one_whose_first_byte_left_in_time_is_not_counted(self) -> None:
+        self.leave(3)
+        for number in range(3):
+            self.rules.sent(400.0, "n1", f"r{number}", "s1", began=240.0)
+        self.assertEqual(self.rules.breaches, [])
+
+    def test_a_node_that_died_or_was_held_up_has_no_client_that_is_gone(self) -> None:
+        self.leave(0)
+        for number in range(4):
+            self.take(f"r{number}")
+        self.rules.excused("n1", "r0")
+        self.rules.node_died(50.0, "n1")
+        for number in range(4):
+            self.send(1500.0, req=f"r{number}")
+        self.rules.finish(9000.0)
+        self.assertEqual(self.rules.breaches, [])
+
+    def firsts(self, waiting: int, late: int, at: float) -> list[str]:
+        self.setUp()
+        self.leave(waiting)
+        for number in range(late):
+            self.send(at, req=f"r{number}")
+        self.rules.breaches.clear()  # of the rule on single attempts
+        self.rules.finish(9000.0)
+        return [breach.rule for breach in self.rules.breaches]
+
+    def test_over_a_quarter_of_those_that_waited_sent_on_far_too_late(self) -> None:
+        self.assertEqual(self.firsts(20, 5, 451.0), [])  # a quarter
+        self.assertEqual(self.firsts(4, 4, 451.0), [])  # fewer than five
+        self.assertEqual(self.firsts(19, 5, 450.0), [])  # not late enough
+        self.assertEqual(self.firsts(19, 5, 451.0), [GONE_FIRSTS])
+        self.only(GONE_FIRSTS, 451.0, "r4")
+        self.assertEqual(self.rules.breaches[0].what[:22], "5 of 19 that waited; t")
+
+
+class ToldWithinSixSeconds(Checking):
+    def test_a_drain_counts_as_told_six_seconds_after_discovery_had_it(self) -> None:
+        self.take()
+        self.rules.discovery_has(1000.0, "n1", "s1", Standing.DRAINING)
+        self.send(7250.0)  # the grace of 250 ms from then on
+        self.rules.sent(9000.0, "n2", "other", "s1")  # another node, with another discovery
+        self.rules.breaches.clear()
+        self.send(7250.1)
+        self.only(TOLD, 7250.1)
+
+    def test_what_was_heard_sooner_counts_from_then_on_and_what_is_heard_later_changes_nothing(self) -> None:
+        self.take()
+        self.rules.discovery_has(1000.0, "n1", "s1", Standing.DRAINING)
+        self.rules.list_told(2000.0, "n1", "s1", Standing.DRAINING)
+        self.send(2251.0)
+        self.only(DRAINS, 2251.0)
+        self.rules.breaches.clear()
+        self.rules.discovery_has(1000.0, "n1", "s2", Standing.DRAINING)
+        self.rules.list_told(8000.0, "n1", "s2", Standing.DRAINING)
+        self.send(7251.0, "s2")
+        self.only(TOLD, 7251.0, server="s2")
+
+    def test_an_old_list_that_still_calls_it_up_puts_nothing_off(self) -> None:
+        self.take()
+        self.rules.discovery_has(0.0, "n1", "s1", Standing.DRAINING)
+        self.rules.list_told(100.0, "n1", "s1", Standing.READY)
+        self.send(6251.0)
+        self.only(TOLD, 6251.0)
+
+    def test_a_move_and_a_new_process_count_anew(self) -> None:
+        self.take()
+        self.rules.discovery_has(0.0, "n1", "s1", Standing.GONE)
+        self.rules.discovery_moved("n1")
+        self.rules.discovery_has(5000.0, "n1", "s1", Standing.GONE, 4000.0)
+        self.send(9250.0)
+        self.assertEqual(self.rules.breaches, [])
+        self.send(9251.0)
+        self.only(TOLD, 9251.0)
+        self.rules.breaches.clear()
+        self.rules.node_died(9300.0, "n1")
+        self.take("new")
+        self.send(9900.0, req="new")
+        self.assertEqual(self.rules.breaches, [])
+
+
+class ColdSum(Checking):
+    def play(self, calls: int, told: int, at: float = 500.0) -> None:
+        """A fifth of 0.1 ms of work a ms, four times, for a second: 80 ms of it, 4 calls of 20 ms."""
+        self.setUp()
+        self.rules.server_started(0.0, "s1", 0.1, 20.0)
+        for node in range(1, 1 + told):
+            self.rules.list_told(100.0, f"n{node}", "s1", Standing.READY)
+        for number in range(calls):
+            self.rules.call_came(at, "s1", f"n{1 + number % 3}", f"r{number}")
+
+    def test_more_than_is_allowed_and_what_chance_adds_from_all_nodes_together(self) -> None:
+        self.play(10, 3)  # 4 and twice its root and 2
+        self.assertEqual(self.rules.breaches, [])
+        self.rules.call_came(500.0, "s1", "n1", "r")
+        self.only(COLD_SUM, 500.0)
+        self.assertEqual(
+            self.rules.breaches[0].what, "11 calls where 4.0 are allowed; 11 from nodes told of its start"
+        )
+
+    def test_calls_of_the_window_alone_and_only_while_it_is_cold(self) -> None:
+        self.play(10, 3)
+        self.rules.call_came(1500.0, "s1", "n1", "r")
+        self.play(30, 3, 10_000.0)
+        self.assertEqual(self.rules.breaches, [])
+
+    def test_two_thirds_from_nodes_told_of_its_start_are_not_over_two_thirds(self) -> None:
+        self.play(0, 2)
+        for node in ("n3",) * 4 + ("n1", "n2") * 4:
+            self.rules.call_came(500.0, "s1", node, "r")
+        self.assertEqual(self.rules.breaches, [])
+        self.rules.call_came(500.0, "s1", "n1", "r")  # 9 of 13
+        self.only(COLD_SUM, 500.0)
+
+    def test_a_start_that_counts_as_told_is_told(self) -> None:
+        self.play(0, 0)
+        self.rules.discovery_has(0.0, "n1", "s1", Standing.READY, 499.0)
+        for _ in range(11):
+            self.rules.call_came(498.0, "s1", "n1", "r")
+        self.assertEqual(self.rules.breaches, [])
+        self.rules.call_came(499.0, "s1", "n1", "r")
+        self.assertEqual(self.rules.breaches, [])  # told for 1 of 12 alone
+        for _ in range(23):
+            self.rules.call_came(500.0, "s1", "n1", "r")
+        self.only(COLD_SUM, 500.0)
