Lists: told within 6 s of the return, whatever became of the call to discovery

Need: a change counts as told 6 s after discovery had it and could be reached, after any call; what an agent holds at its return is told at once.

Lines at fault: ListClock.asked gave each silent question 4 s; DIAL gave a late connection up after 1 s and began another; ListClock.failed strewed over 16 s and put the moment off by failed_call; AWAY took back what a 503 had hidden (503 and reset in turn never became stale); a cut answer and an own want of descriptors passed for an outage.

Change: an agent that lists are pushed to is asked anew every 50 to 125 ms beside the question in doubt (three at most), a shared discovery one question at a time, at most 4 s after the last. Outages begin the 6 s anew, save for what a discovery that was reached may have hidden before.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -4,31 +4,38 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from random import Random
+from typing import NamedTuple
 
 import h11
 
 from onyxpost.edge import messages as m
 from onyxpost.edge.errors import TurnedAway
 from onyxpost.edge.exchange import READ, again, answered, message
-from onyxpost.edge.listclock import WAIT, Failure, ListClock
-from onyxpost.edge.net import Net
+from onyxpost.edge.listclock import AGAIN, Failure, ListClock
+from onyxpost.edge.net import Net, Reader
 from onyxpost.errors import Unreadable
 
-DIAL = 1000.0  # ms for a connection: the agent is on this machine
+DIAL = 2000.0  # ms for a connection
+PATIENCE = 4000.0  # ms that the oldest question is kept beside newer ones
+FIRST = asyncio.FIRST_COMPLETED
+SPOKE = (Failure.TURNED_AWAY, Failure.SPOILT)
+OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # want of this machine
 LIST_MOST = 8 * 1024 * 1024
 
 
 class Discovery:
     def __init__(
         self, net: Net, address: m.Address, generation: int, post: Callable[[m.Incoming], None],
-        log: Callable[[m.Log], None], seed: int = 0, failed_call: float = 0.0,
+        log: Callable[[m.Log], None], seed: int = 0, shared: bool = False,
     ) -> None:  # fmt: skip
-        """`failed_call`: ms in which nothing counts as told after a call that discovery turned away."""
-        self.chance, self.failed_call = Random(seed), failed_call
+        """`shared`: discovery itself is asked, with all nodes, not an agent that lists are pushed to."""
+        self.chance, self.shared = Random(seed), shared
         self.net, self.address, self.generation, self.post, self.log = net, address, generation, post, log
         self.too: m.Address | None = None  # where else it may be, until one of both has answered
         self.down = self.stale = False
@@ -54,7 +61,7 @@
         self.address, self.too = address, None
 
     def watch_at(self, address: m.Address, moved: bool = False) -> None:
-        clock = ListClock(self.chance, self.failed_call)
+        clock = ListClock(self.chance, self.shared)
         self.watches[asyncio.get_running_loop().create_task(self.watch(address, clock, moved))] = clock
 
     def close(self) -> None:
@@ -64,35 +71,85 @@
             watch.cancel()
 
     async def watch(self, address: m.Address, clock: ListClock, moved: bool = False) -> None:
-        spoke: Failure | None = None  # how the other address came to nothing, just tried, if it may hold news
-        swapped = False  # the other address is tried at once, the first one again after a while
-        while True:
-            try:
-                async for listed in self.watch_on_one(address, clock, moved):
+        loop = asyncio.get_running_loop()
+        trial = Trial(address)
+        asked: list[Question] = []  # those out, oldest first
+        line: _Line | None = None  # the one that has just answered
+        try:
+            while True:
+                began, wait = self.net.clock(), clock.wait()
+                make_room(asked, clock.open_most, began)
+                told = loop.create_task(self.ask(trial.address, line, "" if moved else self.since(wait)))
+                line = None
+                asked.append(Question(told, trial.address, began))
+                due = loop.time() + clock.asked(began, wait, moved) / 1000.0
+                while (left := due - loop.time()) > 0.0:
+                    if not asked:
+                        await asyncio.sleep(left)
+                        break
+                    await asyncio.wait([q.told for q in asked], timeout=left, return_when=FIRST)
+                    if (done := next((q for q in asked if q.told.done()), None)) is None:
+                        continue
+                    asked.remove(done)
+                    try:
+                        line, listed = done.told.result()
+                    except _Failed as err:
+                        pause = self.failed(clock, trial, done, err.failure, err.err)
+                        due = loop.time() + pause / 1000.0
+                        continue
+                    close(asked)
+                    if trial.address == self.address:
+                        self.address = done.address
+                    trial.address = done.address
                     clock.answered()
-                    self.told(listed, moved)
+                    quick = wait > AGAIN > self.net.clock() - began and listed.generation <= self.generation
+                    self.told(listed, moved, done.address)
                     moved = False
-            except (OSError, h11.ProtocolError, Unreadable) as err:
-                failure = _failure(err)
-                if self.too is not None and address == self.address:
-                    address, self.too = self.too, address
-                    self.address, swapped = address, not swapped
-                    if swapped:
-                        spoke = failure if failure in (Failure.TURNED_AWAY, Failure.SPOILT) else None
-                        continue
-                    failure, spoke = spoke or failure, None
-                self.asked.set()
-                if not self.down and address == self.address:
-                    self.down = True
-                    cause = {"cause": f"{type(err).__name__}: {err}"[:200]}
-                    cause |= {"remedy": err.remedy} if isinstance(err, Unreadable) else {}
-                    self.log(m.Log("discovery down", cause, logging.WARNING))
-                    self.post(m.ListFailed())
-                left = clock.failed(self.net.clock(), failure)
-                if address != self.address:
-                    clock.stale_at = None  # what counts is what the agent holds that is named now
-                self.may_become_old()
-                await asyncio.sleep(left / 1000.0)
+                    if quick:  # an agent that does not wait is not asked without end
+                        await asyncio.sleep(clock.pause() / 1000.0)
+                    break
+                else:
+                    if asked and asked[-1].told is told:
+                        silent = TimeoutError("no answer")
+                        pause = self.failed(clock, trial, asked[-1], Failure.SILENT, silent)
+                        if clock.open_most == 1:
+                            close(asked)
+                            await asyncio.sleep(pause / 1000.0)
+        finally:
+            close(asked)
+            if line is not None:
+                line.writer.transport.abort()
+
+    def since(self, wait: float) -> str:
+        return f"?since={self.generation}&timeout_ms={int(wait)}"
+
+    def failed(
+        self, clock: ListClock, trial: Trial, question: Question, failure: Failure, err: Exception
+    ) -> float:
+        """ms until the next question."""
+        now, again = self.net.clock(), clock.anew
+        if self.too is not None and trial.address == self.address:
+            trial.address, self.too = self.too, trial.address
+            self.address, trial.swapped = trial.address, not trial.swapped
+            if trial.swapped:
+                trial.spoke = failure if failure in SPOKE else None
+                return 0.0
+            failure, trial.spoke = trial.spoke or failure, None
+        if failure is not Failure.SILENT:
+            self.asked.set()
+        elif not again:  # one on a new connection tells whether it is more than this watch
+            return clock.failed(now, failure)
+        if not self.down and trial.address == self.address:
+            self.down = True
+            cause = {"cause": f"{type(err).__name__}: {err}"[:200]}
+            cause |= {"remedy": err.remedy} if isinstance(err, Unreadable) else {}
+            self.log(m.Log("discovery down", cause, logging.WARNING))
+            self.post(m.ListFailed())
+        left = clock.failed(now, failure, question.at)
+        if trial.address != self.address:
+            clock.hidden, clock.ends = False, 0  # what counts is what the agent holds that is named now
+        self.may_become_old()
+        return left
 
     def stale_in(self) -> float | None:
         """ms until news counts as told that has not come, by any of the watches."""
@@ -113,14 +170,14 @@
         self.log(m.Log("list may be old", {"generation": self.generation}, logging.WARNING))
         self.post(m.ListFailed(stale=True))
 
-    def told(self, listed: m.Listed, moved: bool) -> None:
+    def told(self, listed: m.Listed, moved: bool, by: m.Address) -> None:
         own = asyncio.current_task()
         for older in list(self.watches):
             if older is own:
                 break
             older.cancel()
             del self.watches[older]
-        if self.down:
+        if self.down and by == self.address:  # the old one's word says nothing of the one named now
             self.down = False
             self.log(m.Log("discovery up", {"generation": listed.generation}))
         if moved:
@@ -136,36 +193,90 @@
             if self.stale:
                 self.post(m.ListFailed(stale=True))  # a list says that all is told
 
-    async def watch_on_one(
-        self, address: m.Address, clock: ListClock, whole: bool
-    ) -> AsyncIterator[m.Listed]:
-        """Watch after watch on one connection, until it fails; `whole`: the first asks for the whole list."""
-        async with asyncio.timeout(DIAL / 1000.0):
-            reader, writer, _ = await self.net.dial(address, READ)
+    async def ask(
+        self, address: m.Address, line: _Line | None, query: str
+    ) -> tuple[_Line | None, m.Listed]:
+        """One question and its answer, and the connection if it may be used again.
+
+        Raises _Failed, whatever it came to nothing by.
+        """
+        came = 0
         try:
-            http = h11.Connection(h11.CLIENT)
-            watching = True
-            while watching:
-                # The first one is answered at once, with whatever is newer than the list in the file.
-                wait = int(WAIT) if self.asked.is_set() else 1
-                target = "/v1/servers" if whole else f"/v1/servers?since={self.generation}&timeout_ms={wait}"
-                host = [("Host", "{}:{}".format(*address))]
-                writer.write(message(http, h11.Request(method="GET", target=target, headers=host)))
-                patience = clock.asked(self.net.clock(), wait, moved=whole)
-                async with asyncio.timeout(patience / 1000.0):
-                    response, text = await answered(http, partial(reader.read, READ), LIST_MOST)
-                if response.status_code != 200:
-                    raise TurnedAway(f"status {response.status_code}")
-                whole = False
-                yield m.listed(text)
-                watching = again(http)
-        finally:
-            writer.transport.abort()
+            if line is None:
+                async with asyncio.timeout(DIAL / 1000.0):
+                    reader, writer, _ = await self.net.dial(address, READ)
+                line = _Line(reader, writer, h11.Connection(h11.CLIENT))
+            came = line.reader.came
+            host = [("Host", "{}:{}".format(*address))]
+            request = h11.Request(method="GET", target=f"/v1/servers{query}", headers=host)
+            line.writer.write(message(line.http, request))
+            response, text = await answered(line.http, partial(line.reader.read, READ), LIST_MOST)
+            if response.status_code != 200:
+                raise TurnedAway(f"status {response.status_code}")
+            listed = m.listed(text)
+        except (OSError, h11.ProtocolError, Unreadable) as err:
+            if line is not None:
+                line.writer.transport.abort()
+            begun = line is not None and line.reader.came > came
+            raise _Failed(_failure(err, line is not None, begun), err) from err
+        except BaseException:
+            if line is not None:
+                line.writer.transport.abort()
+            raise
+        if not again(line.http):
+            line.writer.transport.abort()
+            line = None
+        return line, listed
+
+
+class _Line(NamedTuple):
+    reader: Reader
+    writer: asyncio.StreamWriter
+    http: h11.Connection
+
+
+class _Failed(Exception):
+    def __init__(self, failure: Failure, err: Exception) -> None:
+        self.failure, self.err = failure, err
+
+
+class Question(NamedTuple):
+    told: asyncio.Task[tuple[_Line | None, m.Listed]]
+    address: m.Address
+    at: float  # ms by the node's clock
+
+
+@dataclass
+class Trial:
+    """Where a watch asks; of two addresses the other is tried at once, the first one again after a while."""
+
+    address: m.Address
+    spoke: Failure | None = None  # how the other address came to nothing, just tried, if it may hold news
+    swapped: bool = False
+
+
+def make_room(asked: list[Question], most: int, now: float) -> None:
+    """For one question more. The oldest may yet be answered, if late; the others give way to newer ones."""
+    if asked and now - asked[0].at >= PATIENCE:
+        close(asked, 0, 1)
+    if len(asked) >= most:
+        close(asked, 1, 2)
+
+
+def close(asked: list[Question], first: int = 0, end: int | None = None) -> None:
+    for question in asked[first:end]:
+        if not question.told.cancel() and not question.told.cancelled() and not question.told.exception():
+            if (line := question.told.result()[0]) is not None:  # answered in the same moment as another
+                line.writer.transport.abort()
+    del asked[first:end]
 
 
-def _failure(err: Exception) -> Failure:
+def _failure(err: Exception, up: bool, begun: bool) -> Failure:
+    """`up`: the connection had come up; `begun`: bytes of an answer had come."""
     if isinstance(err, TurnedAway):
         return Failure.TURNED_AWAY
-    if isinstance(err, TimeoutError):
-        return Failure.SILENT
-    return Failure.AWAY if isinstance(err, OSError) else Failure.SPOILT
+    if begun or not isinstance(err, OSError):
+        return Failure.SPOILT
+    if err.errno in OWN:
+        return Failure.NO_ROOM
+    return Failure.ENDED if up else Failure.AWAY
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -57,7 +57,7 @@
         )  # fmt: skip
         self.discovery = Discovery(
             self.net, node.discovery, node.known.generation, self.post, self.log, node.seed,
-            deployment.failed_call,
+            deployment.must_ask,
         )  # fmt: skip
         self.discovery.too = node.discovery_too
         self.planners: Planners | None = None
