--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -182,8 +182,10 @@
             self.log(m.Log("discovery up", {"generation": listed.generation}))
         if moved:
             self.log(m.Log("discovery moved", {"generation": listed.generation, "held": self.generation}))
-            if listed.generation < self.generation:  # older than what is held: what is newer still comes
-                listed = m.Listed(self.generation, False, [], {})
+        if listed.generation < self.generation and (moved or not listed.complete):
+            # Older than what is held: what is newer still comes. A whole list that nobody asked for is the
+            # word of a discovery that has begun anew.
+            listed = m.Listed(self.generation, False, [], {})
         self.generation, self.too = listed.generation, None
         was, self.stale = self.stale, self.stale and self.stale_in() == 0.0  # by a later watch's clock
         self.may_become_old()
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import unittest
 from random import Random
 from typing import Any
@@ -29,6 +30,16 @@
     return run(main())  # type: ignore[no-any-return]
 
 
+class Whole(Agent):
+    """Has begun anew, at a lower generation: it tells its whole list, then waits."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while b"since=3" not in await reader.readuntil(b"\r\n\r\n"):
+            text = b'{"generation":3,"reset":true,"instances":[]}'
+            writer.write(b"HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+        await asyncio.sleep(3600.0)
+
+
 class Watches(unittest.TestCase):
     def test_the_first_question_asks_for_an_answer_at_once_and_the_next_ones_wait(self) -> None:
         async def story(node: Discovery, net: Network) -> None:
@@ -120,6 +131,35 @@
         for at in self.ended:
             self.assertTrue([q for q, _ in agent.questions if at < q < at + 200.0])
 
+    def test_changes_older_than_what_is_held_are_not_taken_and_do_not_lower_the_generation(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.generation = 5
+            node.begin()
+            await asyncio.sleep(3.0)
+
+        for news in (EVER, 500.0):  # nothing, or a row of an older generation
+            agent = Agent(EVER)
+            agent.news_at = news
+            node, got, _ = play([agent], story)
+            self.assertEqual((node.generation, [v for v in got if isinstance(v, m.Listed)]), (5, []))
+            self.assertLess(len(agent.questions), 40)  # it answers at once, and is not asked without end
+
+    def test_a_whole_list_of_a_discovery_that_has_begun_anew_is_taken(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.generation = 41
+            node.begin()
+            await asyncio.sleep(1.0)
+
+        agent = Whole(EVER)
+        node, got, _ = play([agent], story)
+        whole = [v.complete for v in got if isinstance(v, m.Listed)]
+        self.assertEqual((node.generation, whole[:1]), (3, [True]))
+
+    def test_an_indented_list_is_one(self) -> None:
+        whole = {"generation": 9, "reset": True, "instances": [{"instanceId": "s", "lifecycle": "up"}]}
+        text = json.dumps(whole, indent=4).replace("\n", "\r\n").encode()
+        self.assertEqual((m.listed(text).generation, len(m.listed(text + b"\n\n").rows)), (9, 1))
+
     def test_nothing_is_told_after_the_end(self) -> None:
         async def story(node: Discovery, net: Network) -> None:
             node.begin()
