A start waits half a second at most for a silent agent, whatever the drains' grace

Observed: with a drain's grace of 30 s a process restarted while its agent is silent was not ready for 30 s (Program.run: heard_first(drain_grace)); with an agent that answers after 3 s, for 3 s. Sends within the grace break nothing, so waiting out a long one buys nothing.

--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -26,6 +26,9 @@
     from onyxpost.forward.client import Planners
 
 SWEEP = 0.25  # s between looks for idle connections
+# ms at a start for the agent's list: it answers at once, and one that is silent is down, however long a
+# drain's grace is. What it may hold counts as told, but a send within the grace breaks nothing.
+FIRST_LIST = 500.0
 ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
 SPARE = 48  # descriptors for files, the listener, discovery, peers, what is just being accepted or refused
 
@@ -117,7 +120,7 @@
         if not self.node.deployment.must_ask:
             self.discovery.begin()
         # What its agent holds counts as told from the start on, and the list in the file may be old.
-        await self.discovery.heard_first(self.node.deployment.drain_grace)
+        await self.discovery.heard_first(min(FIRST_LIST, self.node.deployment.drain_grace))
         if self.planners is not None:
             self.planners.begin()
         if self.links is not None and self.node.fleet is not None:
