Descriptors: a process that may have fewer than its file says keeps to what it may have

Observed over loopback, the node in a process of its own with RLIMIT_NOFILE 56 and 1024 sockets in its file, 80 idle clients while discovery is silent: accept and the watch's dial got EMFILE, asyncio stopped accepting for a second at a time with hundreds of fault lines, nothing of the list was heard, and after 6 s the list counted as old. Cause: Program.spare, client_room and server_room took the file's number alone.

Change: Net.descriptors() is what the process may have, less 16 that are no sockets; the program keeps to the lower one.

--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import resource
 import signal
 import socket
 import time
@@ -14,6 +15,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.errors import NotListening
 
+FILES = 16  # descriptors that are no sockets of the node's: its three files, the loop's and the interpreter's
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -57,6 +59,7 @@
     def signals(self, stop: Callable[[], None], reread: Callable[[], None]) -> None: ...
     def deaf(self) -> None: ...
     def settled(self) -> None: ...
+    def descriptors(self) -> int: ...
 
 
 class Sockets:
@@ -111,6 +114,10 @@
         # Not the loop's: with the loop it would end, and SIGHUP then ends a process that is just leaving.
         signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(reread))
 
+    def descriptors(self) -> int:
+        """How many sockets this process may have, whatever its file says."""
+        return max(1, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - FILES)
+
     def deaf(self) -> None:
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -47,7 +47,7 @@
     ) -> None:
         self.node, self.lines, self.reread, self.ruled = node, lines, reread, node.ruled
         self.net: Net = net or Sockets()
-        self.now = self.net.clock
+        self.now, self.most = self.net.clock, self.net.descriptors()
         self.phase = Phase.STARTING
         self.inbox: list[m.Incoming] = []
         self.round_due = False
@@ -254,8 +254,11 @@
 
     # Descriptors
 
+    def descriptors(self) -> int:
+        return min(self.node.descriptors, self.most)
+
     def spare(self) -> int:
-        return min(SPARE, self.node.descriptors // 4)
+        return min(SPARE, self.descriptors() // 4)
 
     def held_open(self) -> int:
         fleet = 0 if self.links is None else self.links.descriptors()
@@ -266,13 +269,13 @@
         has asked keeps its place there: so from a quarter on, those between reqs and those that say nothing
         give way. All together leave two fifths to the servers' connections: what cannot be sent on is of no
         use."""
-        descriptors, clients = self.node.descriptors, len(self.clients.open)
+        descriptors, clients = self.descriptors(), len(self.clients.open)
         if clients >= descriptors // 4 and self.clients.make_room():
             return True
         return clients < (descriptors - self.spare()) * 3 // 5 and self.server_room()
 
     def server_room(self) -> bool:
-        return self.held_open() < self.node.descriptors or self.servers.make_room()
+        return self.held_open() < self.descriptors() or self.servers.make_room()
 
     def sweep(self) -> None:
         self.servers.sweep()
--- a/onyxpost/lab/virtual/network.py
+++ b/onyxpost/lab/virtual/network.py
@@ -160,3 +160,6 @@
 
     def settled(self) -> None:
         pass
+
+    def descriptors(self) -> int:
+        return 1 << 20
--- a/tests/test_list_troubles.py
+++ b/tests/test_list_troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import itertools
 import unittest
 from random import Random
@@ -14,7 +15,8 @@
 from onyxpost.lab.virtual import Network, run
 
 GRACE = 250.0  # ms of a drain on the strictest site: what an agent holds at its return counts at once
-SPEAKS = ("turned away", "spoilt", "cut", "reset")  # somebody is there, over and over
+SPEAKS = ("turned away", "spoilt", "cut", "reset", "no room")  # somebody is there, over and over
+DIALS = ("refusal", "late", "no room")  # trouble with new connections
 TROUBLES = ("silence", "refusal", "late", *SPEAKS)
 POINTS = ("start", "mid-wait", "mid-answer", "between two", "after a move")
 
@@ -52,7 +54,7 @@
             if self.point == "between two" and asked < self.begins <= due:
                 later, self.point = due + 0.001 - self.begins, ""  # the next question comes into the trouble
                 self.begins, self.ends, self.news = self.begins + later, self.ends + later, self.news + later
-                self.over, self.last = self.ends, self.trouble in ("late", "refusal")
+                self.over, self.last = self.ends, self.trouble in DIALS
             if asked < self.begins <= due and self.point == "mid-answer":
                 await self.until(self.begins)
                 writer.write(self.answer(since)[:-1])
@@ -114,13 +116,16 @@
             if address == last and agent.begins <= agent.now() < agent.ends:
                 if trouble == "refusal":
                     raise ConnectionRefusedError("nobody there")
+                if trouble == "no room":
+                    agent.struck = True
+                    raise OSError(errno.EMFILE, "too many open files")
                 if trouble == "late":
                     agent.struck = True
                     await asyncio.sleep(1.5)
             return await dial(address, limit)
 
         host.dial = troubled  # type: ignore[method-assign]
-        if trouble in ("refusal", "late") and point != "between two":
+        if trouble in DIALS and point != "between two":
             loop.call_at(begins / 1000.0, net.reset_some, "agent1" if moved else "agent0")
         self_serve = listener.serve
         if trouble == "late":  # a late connection is in trouble by being late alone
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -453,6 +453,18 @@
                     self.assertEqual((await edge.ask(wire_req()))[0].split(b" ")[1], b"429")
             self.assertEqual(server.got, [])
 
+    async def test_whatever_became_of_a_question_what_the_agent_holds_is_here_soon_after(self) -> None:
+        away = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"
+        whole = self.told(5, "draining")
+        cut = [(whole[:9], True), (whole[:-3], True), (whole[:-3], False)]
+        for trouble in ((away, False), *cut, (b"", True), None):
+            began = asyncio.get_running_loop().time()
+            async with AppServer(trouble, (whole, False), *[None] * 9) as agent:
+                heard, _ = await self.watch(agent, 3)
+            self.assertEqual([h.generation for h in heard if isinstance(h, m.Listed)], [5], trouble)
+            self.assertIn(b"since=4&timeout_ms=1 ", agent.got[1])  # to be told at once
+            self.assertLess(asyncio.get_running_loop().time() - began, 2.0)
+
     async def test_an_agent_that_talks_nonsense_or_falls_silent_is_asked_again(self) -> None:
         nonsense = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"
         with mock.patch.object(ListClock, "asked", lambda self, now, wait, moved=False: 400.0):
