Settings: must_ask_in_us is read no more, as nothing is put off by it

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of the call; the setting gave the time that a call turned away put that off by, and had no other use. Unknown keys are passed over.

--- a/onyxpost/deployment.py
+++ b/onyxpost/deployment.py
@@ -32,7 +32,6 @@
     allowed: Allowed
     must_ask: bool
     drain_grace: float
-    failed_call: float  # after one, nothing counts as told for so long; 0: lists are pushed
     connect_timeout: float
     keep_alive: float
     units_most: int  # that one req may take; 0: nothing is said
@@ -71,7 +70,6 @@
     fall_multiple: float = 1.0
     fall_us: float = 0.0
     drain_grace_us: float = 250_000.0
-    must_ask_in_us: float = 0.0
 
 
 class GivenFrontend(Given):
@@ -161,7 +159,6 @@
         ),
         must_ask=given.discovery == "on_request",
         drain_grace=grace / 1000.0,
-        failed_call=4.0 * rules.must_ask_in_us / 1000.0 if given.discovery == "on_request" else 0.0,
         # One attempt may wait for its connection no longer than a drain's grace: it could begin past it; and
         # all that a req may have must have failed to connect within half of its time.
         connect_timeout=min(grace if connect is None else connect, grace, shortest / 2 / bounds.try_limit)
