--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -23,6 +23,7 @@
 
 DIAL = 2000.0  # ms for a connection
 PATIENCE = 4000.0  # ms that the oldest question is kept beside newer ones
+TURN = 1e-4  # s: a shorter wait may end before the clock has moved
 FIRST = asyncio.FIRST_COMPLETED
 SPOKE = (Failure.TURNED_AWAY, Failure.SPOILT)
 OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # want of this machine
@@ -83,7 +84,7 @@
                 line = None
                 asked.append(Question(told, trial.address, began))
                 due = loop.time() + clock.asked(began, wait, moved) / 1000.0
-                while (left := due - loop.time()) > 0.0:
+                while (left := due - loop.time()) > TURN:
                     if not asked:
                         await asyncio.sleep(left)
                         break
