--- a/onyxpost/edge/listclock.py
+++ b/onyxpost/edge/listclock.py
@@ -20,6 +20,7 @@
 DOUBT = 250.0  # ms past the wait of a question to an agent, which answers at once
 WAIT_PUSHED = 1000.0  # ms that a watch at the agent may wait
 WAIT_SHARED = SILENT - 2.0 * ANSWER - 2.0 * AGAIN  # two answers and the pause between them fit into the 6 s
+WAIT_ANEW = 400.0  # the same after a failure: until it is answered the list may count as old
 SPREAD_PUSHED = 200.0, 1000.0  # ms over which an agent that turned a question away is asked again, doubling
 
 
@@ -52,7 +53,9 @@
         the list in the file; and so is every one that an agent is asked anew."""
         if self.first or (self.anew and not self.shared):
             return 1.0
-        return WAIT_SHARED if self.shared else WAIT_PUSHED
+        if self.shared:
+            return WAIT_ANEW if self.anew else WAIT_SHARED
+        return WAIT_PUSHED
 
     @property
     def open_most(self) -> int:
