List clock: after a move what was hidden counts 4 s after an outage too

Observed by a test: a new agent silent at first and then turning away put the moment off from 4 s after SIGHUP to 6 s (ListClock.was_down and failed took 6 s whatever asked had said). Now the 4 s hold until it has told its list.

Also stories seen to fail without what they stand for: connections up to 1.5 s late and answers as late are heard (one question at a time, the oldest given way first, or a second to connect each lose them); a cut answer before an outage hides news, an ended connection does not.

--- a/onyxpost/edge/listclock.py
+++ b/onyxpost/edge/listclock.py
@@ -45,6 +45,7 @@
         self.anew = True  # the question that is out is the first on its connection
         self.silent = False  # the last question was not answered in its time
         self.ends = 0  # connections that ended one after the other
+        self.counts = SILENT  # ms after which what a question hid counts as told
         self.hidden = False  # somebody who was reached may hold news
         self.counts_at: float | None = None  # when what is hidden since the last answer counts as told
 
@@ -65,12 +66,12 @@
     def asked(self, now: float, wait: float, moved: bool = False) -> float:
         """A question that may wait for `wait` ms is put; `moved`: to the agent that a SIGHUP has just named.
         ms until the next one is put if it has no answer by then."""
-        counts = MOVED if moved else max(SILENT, wait + PAST_WAIT)
+        self.counts = MOVED if moved else max(SILENT, wait + PAST_WAIT)
         self.asked_at, self.first = now, False
         if self.counts_at is None:
-            self.counts_at = now + counts
+            self.counts_at = now + self.counts
         if self.shared:
-            return counts - ANSWER - AGAIN * 1.25
+            return self.counts - ANSWER - AGAIN * 1.25
         return self.pause() if self.silent else wait + DOUBT
 
     def pause(self) -> float:
@@ -82,17 +83,16 @@
 
     def failed(self, now: float, failure: Failure, asked: float | None = None) -> float:
         """ms until the next question. `asked`: when the one that failed was put, if it was not the last."""
-        anew, self.anew, self.silent = self.anew, True, failure is Failure.SILENT
+        self.anew, self.silent = True, failure is Failure.SILENT
         if failure is Failure.SILENT:
-            if anew:
-                self.was_down(self.asked_at)
+            self.was_down(self.asked_at)
             return self.pause() if self.shared else 0.0
         if failure is Failure.AWAY:
             self.was_down(now)
             return self.pause()
         if self.counts_at is None or asked is None:
             asked = self.asked_at
-        self.counts_at = min(asked + SILENT, self.counts_at or now + SILENT)
+        self.counts_at = min(asked + self.counts, self.counts_at or now + self.counts)
         if failure is Failure.ENDED:
             self.ends += 1
             return self.pause()
@@ -113,7 +113,7 @@
         """Discovery could not be reached then: what it has to tell counts from later on, save what one that
         was reached may have hidden before."""
         if not self.hidden:
-            self.counts_at, self.ends = when + SILENT, 0
+            self.counts_at, self.ends = when + self.counts, 0
 
     def stale_in(self, now: float) -> float | None:
         """ms until news may count as told that has not come; None: that is not to be feared."""
--- a/tests/test_listclock.py
+++ b/tests/test_listclock.py
@@ -189,6 +189,24 @@
                 back = 1000.0 if hides else now - 1000.0 if down is Failure.SILENT else now
                 self.assertEqual(clock.stale_in(now), back + SILENT - now)
 
+    def test_what_a_watch_hid_that_fell_silent_counts_from_when_it_was_asked(self) -> None:
+        clock = ListClock(Random(1))
+        clock.asked(0.0, 1.0)
+        clock.answered()
+        clock.asked(1000.0, 1000.0)
+        clock.failed(2250.0, Failure.SILENT)
+        clock.asked(2250.0, 1.0)
+        clock.failed(2251.0, Failure.TURNED_AWAY)
+        self.assertEqual(clock.stale_in(2251.0), 1000.0 + SILENT - 2251.0)
+
+    def test_after_a_move_what_a_first_silence_hid_counts_4_s_after_it(self) -> None:
+        clock = ListClock(Random(1))
+        clock.asked(1000.0, 1.0, moved=True)
+        clock.failed(1251.0, Failure.SILENT)
+        clock.asked(1251.0, 1.0, moved=True)
+        clock.failed(1260.0, Failure.TURNED_AWAY)
+        self.assertEqual(clock.stale_in(1260.0), 1000.0 + MOVED - 1260.0)
+
     def test_turned_away_and_reset_in_turn_and_reset_without_end_come_to_count_after_6_s(self) -> None:
         for failures in ([Failure.TURNED_AWAY, Failure.ENDED], [Failure.ENDED, Failure.ENDED]):
             clock, now = ListClock(Random(1)), 1000.0
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -40,6 +40,37 @@
         await asyncio.sleep(3600.0)
 
 
+class Late(Agent):
+    """Answers each question so many s late, and holds news."""
+
+    def __init__(self, late: float) -> None:
+        super().__init__(EVER)
+        self.late = late
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while b"since=2" not in await reader.readuntil(b"\r\n\r\n"):
+            await asyncio.sleep(self.late)
+            text = b'{"generation":2,"reset":false,"instances":[]}'
+            writer.write(b"HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+        await asyncio.sleep(3600.0)
+
+
+class Cut(Agent):
+    """Says this much to its first question and ends the connection; from then on nobody is heard there."""
+
+    def __init__(self, said: bytes) -> None:
+        super().__init__(EVER)
+        self.said = said
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if self.questions:
+            await asyncio.sleep(3600.0)
+        self.questions.append((self.now(), 0.0))
+        writer.write(self.said)
+        writer.close()
+
+
 class Watches(unittest.TestCase):
     def test_the_first_question_asks_for_an_answer_at_once_and_the_next_ones_wait(self) -> None:
         async def story(node: Discovery, net: Network) -> None:
@@ -144,6 +175,31 @@
             self.assertEqual((node.generation, [v for v in got if isinstance(v, m.Listed)]), (5, []))
             self.assertLess(len(agent.questions), 40)  # it answers at once, and is not asked without end
 
+    def test_connections_that_come_up_late_and_answers_that_come_late_are_heard(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            dial = net.dial
+
+            async def late(name: str, address: m.Address, limit: int) -> Any:
+                await asyncio.sleep(self.up)
+                return await dial(name, address, limit)
+
+            net.dial = late  # type: ignore[method-assign]
+            node.begin()
+            await asyncio.sleep(self.up + self.says + 0.5)
+            self.assertEqual(node.generation, 2)
+
+        for self.up, self.says in ((1.5, 0.0), (0.0, 1.5), (1.0, 1.5)):
+            play([Late(self.says)], story)
+
+    def test_a_cut_answer_before_an_outage_may_hide_news_a_connection_that_ended_does_not(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            await asyncio.sleep(9.0)
+
+        for said in (b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n{", b"HTTP/1.1 2", b""):
+            _, got, _ = play([Cut(said)], story)
+            self.assertEqual(m.ListFailed(stale=True) in got, said != b"")
+
     def test_a_whole_list_of_a_discovery_that_has_begun_anew_is_taken(self) -> None:
         async def story(node: Discovery, net: Network) -> None:
             node.generation = 41
