--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import resource
 import select
 import signal
 import socket
@@ -16,6 +17,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.errors import NotListening
 
+FILES = 16  # descriptors that are no sockets of the node's: its three files, the loop's and the interpreter's
 
 
 class Reader(asyncio.StreamReader):
@@ -85,6 +87,7 @@
     def signals(self, stop: Callable[[], None], reread: Callable[[], None]) -> None: ...
     def deaf(self) -> None: ...
     def settled(self) -> None: ...
+    def descriptors(self) -> int: ...
 
 
 class Sockets:
@@ -158,6 +161,10 @@
         # Not the loop's: with the loop it would end, and SIGHUP then ends a process that is just leaving.
         signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(reread))
 
+    def descriptors(self) -> int:
+        """How many sockets this process may have, whatever its file says."""
+        return max(1, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - FILES)
+
     def deaf(self) -> None:
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -27,6 +27,9 @@
     from onyxpost.forward.client import Planners
 
 SWEEP = 0.25  # s between looks for idle connections
+# ms at a start for the agent's list: it answers at once, and one that is silent is down, however long a
+# drain's grace is. What it may hold counts as told, but a send within the grace breaks nothing.
+FIRST_LIST = 500.0
 ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
 SPARE = 48  # descriptors for files, the listener, discovery, peers, what is just being accepted or refused
 
@@ -45,7 +48,7 @@
     ) -> None:
         self.node, self.lines, self.reread, self.ruled = node, lines, reread, node.ruled
         self.net: Net = net or Sockets()
-        self.now = self.net.clock
+        self.now, self.most = self.net.clock, self.net.descriptors()
         self.phase = Phase.STARTING
         self.inbox: list[m.Incoming] = []
         self.round_due = False
@@ -58,7 +61,7 @@
         )  # fmt: skip
         self.discovery = Discovery(
             self.net, node.discovery, node.known.generation, self.post, self.log, node.seed,
-            deployment.failed_call,
+            deployment.must_ask,
         )  # fmt: skip
         self.discovery.too = node.discovery_too
         self.planners: Planners | None = None
@@ -118,7 +121,8 @@
         if not self.node.deployment.must_ask:
             self.discovery.begin()
         # What its agent holds counts as told from the start on, and the list in the file may be old.
-        await unless(told_to_stop, self.discovery.heard_first(self.node.deployment.drain_grace))
+        most = min(FIRST_LIST, self.node.deployment.drain_grace)
+        await unless(told_to_stop, self.discovery.heard_first(most))
         if told_to_stop.is_set():
             return self.stopped()
         if self.planners is not None:
@@ -267,8 +271,11 @@
 
     # Descriptors
 
+    def descriptors(self) -> int:
+        return min(self.node.descriptors, self.most)
+
     def spare(self) -> int:
-        return min(SPARE, self.node.descriptors // 4)
+        return min(SPARE, self.descriptors() // 4)
 
     def held_open(self) -> int:
         fleet = 0 if self.links is None else self.links.descriptors()
@@ -280,13 +287,13 @@
         has asked keeps its place there: so from a quarter on, those between reqs and those that say nothing
         give way. All together leave two fifths to the servers' connections: what cannot be sent on is of no
         use."""
-        descriptors, clients = self.node.descriptors, len(self.clients.open)
+        descriptors, clients = self.descriptors(), len(self.clients.open)
         if clients >= descriptors // 4 and self.clients.make_room():
             return True
         return clients < (descriptors - self.spare()) * 3 // 5 and self.server_room()
 
     def server_room(self) -> bool:
-        if self.held_open() < self.node.descriptors:
+        if self.held_open() < self.descriptors():
             return True
         return self.clients.cut_parting() or self.servers.make_room()
 
