Cold servers: every start of emulated fleets counted against the stricter budget

Need: beyond N calls from all processes together only 2 sqrt N + 2 are chance; nothing measured how near many whole gateways come to it.

Each start gives its worst window over the budget and whether it fell.

--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,41 @@
+"""Cold servers under the sum of all nodes: every start of an emulated world is counted."""
+
+import unittest
+
+from onyxpost.interface import ColdRule
+from onyxpost.lab.cold.emulate import Case, Server, World
+from onyxpost.lab.cold.measure import played, row
+
+
+class Counted(unittest.TestCase):
+    def test_a_start_past_two_and_past_three_deviations_is_counted(self) -> None:
+        rule = ColdRule(0.2, 10_000.0, 2.0, 1000.0)
+        server = Server("s", 1.0, Case(1, rate=22.5, rule=rule))  # N is 9: past 17, and past 21
+        for many, past, fell in ((17, False, False), (1, True, False), (3, True, False), (1, True, True)):
+            for _ in range(many):
+                server.take(1.0, 1.0)
+            self.assertEqual((server.worst > 1.0, server.fell), (past, fell))
+        server.take(1002.0, 1.0)  # those before are out of the window
+        self.assertEqual(len(server.came), 1)
+
+    def test_the_same_seed_does_the_same_another_does_not(self) -> None:
+        case = Case(3, servers=4, rate=5.0, restarts=0.5)
+        first, again, other = played((case, 1)), played((case, 1)), played((case, 2))
+        self.assertEqual(first, again)
+        self.assertNotEqual(first, other)
+        self.assertEqual(len(first[0]), 2)
+
+    def test_restarts_and_a_list_of_nodes_half_alive_pass_no_budget(self) -> None:
+        case = Case(12, servers=6, restarts=0.5, alive=0.5)
+        world = World(case, 3)
+        starts = world.play()
+        self.assertEqual(len(world.nodes), 6)
+        self.assertTrue(any(node.life > 1 for node in world.nodes))
+        self.assertEqual(len(starts), 4)
+        self.assertFalse([start for start in starts if start.ratio > 1.0 or start.fell])
+        self.assertGreater(min(start.ratio for start in starts), 0.0)  # each was sent something
+        self.assertIn("| 4 | 0 | 0 |", row("small", [(starts, world.asked, world.served)]))
+
+
+if __name__ == "__main__":
+    unittest.main()
