Cold servers: a node's first turn lies by its number, not by chance

Observed: thirty even nodes, ten starts, a mean of 3.1 firsts in two seconds: the worst windows got 7, as chance has it (Poisson); a node has hardly more than one turn with each server while that warms up, so its first decides.

The first lies in the interval at number times the golden ratio, from a place that the server's name gives. The sum over any run of numbers is then even; nodes that are away leave gaps, no crowd, and one that starts anew has the same place. A warm server's part now runs down too: nobody looks at it, and the policy keeps its lines.

Weighed: slots on the clock from the server's start. With uneven load an idle node's slot is lost and a busy one, which is where the reqs are, has no more than others.

--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -15,6 +15,7 @@
     FAILED_SHARE = 0.35  # a server failing more of its attempts is passed over
     CLOSED, CLOSED_MOST = 1000.0, 8000.0  # ms for which a server is passed over: first, doubled up to
     ASSESS = 100.0  # ms between looks at all servers
+    GOLDEN = 0.6180339887  # any run of multiples of it is spread evenly over a turn
 
     def __init__(self, born: float, number: int, rule: ColdRule, room: window.Window, unseen: float) -> None:
         self.born, self.number, self.rule, self.window = born, number, rule, room
@@ -34,7 +35,7 @@
             srv = self.known[row.server] = self.known.get(row.server) or reqs.Srv(row, self.rule)
             if row.started != srv.started:  # a new process: what was seen of the old one is void
                 srv.forget()
-                srv.cold_part = chance()
+                srv.cold_part = (self.number * self.GOLDEN + srv.hash / 2.0**32) % 1.0
             srv.take(row)
         self.known = {s.id: s for s in self.known.values() if s.standing is not Standing.GONE}
         self.ready = [s for s in self.known.values() if s.standing is Standing.READY]
@@ -50,9 +51,8 @@
         self.gap = span * sum(w for _, w in shares) / max(1.0, self.fleet.total(now, 2))
         # Bit by bit: where half of the warm ones go the interval halves, and all nodes that had waited for
         # more than the new one would send at once.
-        for s, warmth in shares:
-            if warmth < 1.0:
-                s.cold_part -= self.ASSESS * warmth / self.gap
+        for s, warmth in shares:  # of warm ones it is never looked at
+            s.cold_part -= self.ASSESS * warmth / self.gap
         for s in list(self.stirred):
             # What is out longer than usual counts by its age: a slow server answers little, and late.
             ages = [now - d.sent for d in s.out if now - d.sent > self.usual]
@@ -76,8 +76,8 @@
         # What is out past its response target is lost or hung, or will be: it takes up no room.
         if self.window.full(ranking, sum(1 for s in self.stirred for d in s.out if now < d.req.due)):
             return None
-        # A cold server gets its sure share of all that is to be sent, each node's first at any time in its
-        # interval: all nodes' firsts at once would push it over.
+        # A cold server gets its sure share of all that is to be sent, each node's first at its own place in
+        # the interval, by its number: all nodes' firsts at once would push it over.
         cold = {s for s in ranking if s.warmth(now) < 1.0}
         able = [s for s in ranking if now - s.shown < self.sure_for and (s not in cold or s.cold_part <= 0.0)]
         risky = req.risky()
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,10 +1,37 @@
-"""Cold servers under the sum of all nodes: every start of an emulated world is counted."""
+"""Cold servers under the sum of all nodes: turns by the nodes' numbers, every start of a world counted."""
 
 import unittest
+from random import Random
 
-from onyxpost.interface import ColdRule
+from onyxpost.interface import ColdRule, Result
 from onyxpost.lab.cold.emulate import Case, Server, World
 from onyxpost.lab.cold.measure import played, row
+from tests.host import Host
+
+
+class Turns(unittest.TestCase):
+    def test_thirty_nodes_firsts_to_a_cold_server_come_evenly_not_by_chance(self) -> None:
+        """Ten start at once, and each gets one from each node in turn, three in two seconds."""
+        hosts, chance = [Host(servers=10, number=n, nodes=30, warm_ms=1e9) for n in range(30)], Random(5)
+        came: dict[str, list[int]] = {f"s{i}": [] for i in range(10, 20)}
+        for host in hosts:
+            host.gateway.seed = chance.getrandbits(48)  # as processes that know nothing of each other
+            host.run(5000.0)
+        for tick in range(0, 360):
+            for host in hosts:
+                if tick == 60:
+                    host.list(*(host.row(i, started=host.now if i >= 10 else 0.0) for i in range(20)))
+                host.run(25.0)
+            for host in hosts[tick % 10 :: 10]:
+                for what, req, *to in host.arrive(key=f"c{tick}"):
+                    if what == "attempt":
+                        came.get(to[0], []).append(tick)
+                        host.end(req, Result.OK)
+        windows = [[sum(first <= at < first + 80 for at in all_at) for first in range(60, 280)]
+                   for all_at in came.values()]  # of two seconds
+        mean = sum(map(sum, windows)) / sum(map(len, windows))
+        self.assertGreater(mean, 3.0)
+        self.assertLessEqual(max(map(max, windows)), mean + 3.0)
 
 
 class Counted(unittest.TestCase):
