Cold servers: a young node takes its reqs for a second's at least

Observed: a node 0.1 s old with its first req, or none yet, reckoned with ten reqs a second (max(1, n) over its life so far, Servers.assess): of the first reqs of a hundred nodes, one each after 0.9 s, five cold servers of ten got 51, where their sure share is 17.

What is sent counts over a second at least. The test fails without it (51, by chance or by number). Weighed: six seconds from the first, where a whole fleet that restarts beside none but cold servers would send them nothing for seconds.

--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -14,7 +14,7 @@
     MARGIN = 1.1  # a server has enough when its expected response is so many times the least
     FAILED_SHARE = 0.35  # a server failing more of its attempts is passed over
     CLOSED, CLOSED_MOST = 1000.0, 8000.0  # ms for which a server is passed over: first, doubled up to
-    ASSESS = 100.0  # ms between looks at all servers
+    ASSESS, YOUNG = 100.0, 1000.0  # ms between looks at all servers; least over which what is sent counts
     GOLDEN = 0.6180339887  # any run of multiples of it is spread evenly over a turn
 
     def __init__(self, born: float, number: int, rule: ColdRule, room: window.Window, unseen: float) -> None:
@@ -47,7 +47,7 @@
         self.assess_at, n = now + self.ASSESS, self.fleet.total(now, 0)
         self.usual = self.fleet.total(now, 1) / n if n else self.unseen
         shares = [(s, s.warmth(now)) for s in self.ready]
-        span = min(reqs.Srv.SPAN, max(self.ASSESS, now - self.born))
+        span = min(reqs.Srv.SPAN, max(self.YOUNG, now - self.born))
         self.gap = span * sum(w for _, w in shares) / max(1.0, self.fleet.total(now, 2))
         # Bit by bit: where half of the warm ones go the interval halves, and all nodes that had waited for
         # more than the new one would send at once.
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,4 +1,4 @@
-"""Cold servers under the sum of all nodes: turns by the nodes' numbers, every start of a world counted."""
+"""Cold servers under the sum of all nodes: turns by number, young nodes, every start of a world counted."""
 
 import unittest
 from random import Random
@@ -33,6 +33,17 @@
         self.assertGreater(mean, 3.0)
         self.assertLessEqual(max(map(max, windows)), mean + 3.0)
 
+    def test_a_young_fleet_does_not_take_its_first_req_for_what_it_always_gets(self) -> None:
+        cold = 0
+        for n in range(100):
+            host = Host(servers=0, number=n, nodes=100)
+            host.gateway.seed = n * 7919
+            host.list(*(host.row(i, started=host.now if i >= 5 else 0.0) for i in range(10)))
+            host.run(900.0)
+            ((_, _, server, _),) = host.arrive(key=f"c{n}")
+            cold += int(server[1:]) >= 5
+        self.assertIn(cold, range(5, 30))  # the sure share of five that start at a fifth is 17
+
 
 class Counted(unittest.TestCase):
     def test_a_start_past_two_and_past_three_deviations_is_counted(self) -> None:
