Cold servers: a twentieth of a node's first place stays chance

Observed: nodes whose numbers are 89 or 144 apart had the same place on every server.

Evenness: the test on thirty nodes holds with the same bound.

--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -35,7 +35,7 @@
             srv = self.known[row.server] = self.known.get(row.server) or reqs.Srv(row, self.rule)
             if row.started != srv.started:  # a new process: what was seen of the old one is void
                 srv.forget()
-                srv.cold_part = (self.number * self.GOLDEN + srv.hash / 2.0**32) % 1.0
+                srv.cold_part = (self.number * self.GOLDEN + srv.hash / 2.0**32 + chance() / 20.0) % 1.0
             srv.take(row)
         self.known = {s.id: s for s in self.known.values() if s.standing is not Standing.GONE}
         self.ready = [s for s in self.known.values() if s.standing is Standing.READY]
