--- a/onyxpost/lab/seeds/faults.py
+++ b/onyxpost/lab/seeds/faults.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 from onyxpost.interface import Standing
-from onyxpost.lab.cluster import Cluster
+from onyxpost.lab.cluster import ZONES, Cluster
 from onyxpost.lab.discovery import FailingAgent
 from onyxpost.lab.seeds.script import EDGES, SERVERS, Fault
 from onyxpost.lab.standins import AppServer
@@ -117,10 +117,12 @@
         c.change(new)
 
     def drain_on(self, fault: Fault) -> None:
-        """Half of the servers drain, one of each zone, and stay up to the end."""
-        for number in (fault.whom, (fault.whom + 1) % SERVERS):
-            server = self.cluster.servers[number]
-            if server.standing is Standing.READY:
+        """Of each zone the server that served most: they stay up, draining, to the end."""
+        ready = [server for server in self.cluster.servers if server.standing is Standing.READY]
+        for zone in ZONES:
+            of_zone = [server for server in ready if server.zone == zone]
+            if of_zone:
+                server = max(of_zone, key=lambda one: one.served)
                 server.standing = Standing.DRAINING
                 self.cluster.change(server)
 
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -136,6 +136,13 @@
 
         self.play(story)
 
+    def test_a_quiet_watch_is_answered_in_the_time_that_it_asked_for(self) -> None:
+        async def story(c: Cluster, edge: Edge) -> None:
+            await asyncio.sleep(20.0)
+            self.assertEqual([line for line in c.logged if "discovery" in line[2]], [])
+
+        self.play(story)
+
     def test_a_late_list_takes_nothing_back(self) -> None:
         async def story(c: Cluster, edge: Edge) -> None:
             was = c.servers[0].row()
@@ -220,6 +227,18 @@
 
         self.play(story)
 
+    def test_one_that_is_late_comes_up_after_that(self) -> None:
+        async def story(net: virtual.Network, got: list[bytes]) -> None:
+            net.late["far"] = 0.4
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(net.host("near").dial(("far", 1), 1000), 0.35)
+            began = net.loop.time()
+            _, writer, _ = await net.host("near").dial(("far", 1), 1000)
+            self.assertAlmostEqual(net.loop.time() - began, 0.402, delta=0.003)
+            writer.close()
+
+        self.play(story)
+
     def test_one_that_died_resets_its_connections_and_refuses_new_ones(self) -> None:
         async def story(net: virtual.Network, got: list[bytes]) -> None:
             reader, writer, _ = await net.host("near").dial(("far", 1), 1000)
