Names: circuit breaker and concurrency limit, where servers are passed over and attempts capped

Need: strikes, a server shut until a time, and open_cap hid the field's standard terms. Behaviour unchanged; the log's lines stay as they are.

--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -73,12 +73,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """rate 0: no quota in units; open_cap 0: no cap on attempts out; ceiling_rate 0: no hard ceiling."""
+    """rate 0: no quota in units; concurrency_limit 0: none on attempts out; ceiling_rate 0: no hard ceiling."""
 
     name: str
     rate: float
     burst: float
-    open_cap: int
+    concurrency_limit: int
     price: float
     ceiling_rate: float
     ceiling_burst: float
--- a/onyxpost/policy/peers.py
+++ b/onyxpost/policy/peers.py
@@ -64,7 +64,7 @@
             c.told = c.count
             c.fill(now)
             gone = plan.burst - c.level
-            if not (gone >= c.PRESSED * plan.burst > 0.0 or 2 * c.all_out(now) > plan.open_cap > 0):
+            if not (gone >= c.PRESSED * plan.burst > 0.0 or 2 * c.all_out(now) > plan.concurrency_limit > 0):
                 return []
             return [(p, f"{c.key:x}:{int(gone):x}:{c.all_out(now, p):x}") for p in c.peers]
         turn = c.turn % len(c.peers)
--- a/onyxpost/policy/quota.py
+++ b/onyxpost/policy/quota.py
@@ -57,7 +57,7 @@
         return self.plan.ceiling_burst * self.share
 
     def capped(self, now: float) -> bool:
-        return 0 < self.plan.open_cap <= self.all_out(now)
+        return 0 < self.plan.concurrency_limit <= self.all_out(now)
 
     def has_room(self, now: float, units: int) -> bool:
         self.fill(now)
--- a/onyxpost/policy/reqs.py
+++ b/onyxpost/policy/reqs.py
@@ -22,7 +22,7 @@
 
     def forget(self) -> None:
         self.seen = Ring(self.SPAN / 12, 12, 3)  # answers, their response times, failures
-        self.closed_until, self.strikes = 0.0, 0
+        self.open_until, self.trips = 0.0, 0
 
     def place(self, group: Group) -> str | int:
         return self.zone if group is Group.ZONE else self.cell if group is Group.CELL else 0
--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -13,7 +13,7 @@
 class Servers:
     MARGIN = 1.1  # a server has enough when its expected response is so many times the least
     FAILED_SHARE = 0.35  # a server failing more of its attempts is passed over
-    CLOSED, CLOSED_MOST = 1000.0, 8000.0  # ms for which a server is passed over: first, doubled up to
+    OPEN, OPEN_MOST = 1000.0, 8000.0  # ms for which a circuit breaker is open: first, doubled up to
     ASSESS, YOUNG = 100.0, 1000.0  # ms between looks at all servers; least over which what is sent counts
     GOLDEN = 0.6180339887  # any run of multiples of it is spread evenly over a turn
 
@@ -85,7 +85,7 @@
             able = [s for s in able if s.place(req.frontend.group) == risky.srv.place(req.frontend.group)]
         able = [s for s in able if all(d.srv is not s for d in req.attempts)] or ([] if risky else able)
         # Not failing; one that failed is tried again with one attempt at a time.
-        fit = [s for s in able if not s.strikes or (now >= s.closed_until and not s.out)] or able
+        fit = [s for s in able if not s.trips or (now >= s.open_until and not s.out)] or able
         if (rule := req.narrow) is not WIDE:  # those left have a part of the window: all would overdrive them
             fit = rule.among(fit)
             if self.window.full(fit, sum(1 for s in fit for d in s.out if now < d.req.due), rule.window):
@@ -107,9 +107,9 @@
             srv.seen.add(now, 1.0, waited)
             self.fleet.add(now, 1.0, waited)
             srv.shown = d.sent if result is Result.OK else srv.shown
-            if result is Result.OK and srv.strikes and now >= srv.closed_until:
-                srv.strikes -= 1
-                if not srv.strikes:
+            if result is Result.OK and srv.trips and now >= srv.open_until:
+                srv.trips -= 1
+                if not srv.trips:
                     srv.forget()
                     writer.log(f"server {srv.id} open again")
         elif result not in (Result.CANCELLED, Result.UNUSED, Result.FULL):
@@ -117,14 +117,14 @@
             failed, good = srv.seen.total(now, 2), srv.seen.total(now, 0)
             few = failed < 2 or failed <= self.FAILED_SHARE * (failed + good)
             # One lost answer says little; a connection that does not come up says that nobody is there.
-            if (srv.strikes or result is Result.NO_CONNECTION or not few) and self.shut(now, srv):
+            if (srv.trips or result is Result.NO_CONNECTION or not few) and self.trip(now, srv):
                 writer.log(f"server {srv.id} passed over: {result.label} failed={failed:.0f} good={good:.0f}")
 
-    def shut(self, now: float, srv: reqs.Srv) -> bool:
-        """Pass a failing server over for a while; never more than half of the fleet."""
-        shut = sum(1 for s in self.ready if s.strikes and s is not srv)
-        if now < srv.closed_until or 2 * shut >= len(self.ready):
+    def trip(self, now: float, srv: reqs.Srv) -> bool:
+        """Open the circuit breaker of a failing server for a while; never those of more than half of the fleet."""
+        open_now = sum(1 for s in self.ready if s.trips and s is not srv)
+        if now < srv.open_until or 2 * open_now >= len(self.ready):
             return False
-        srv.closed_until = now + min(self.CLOSED_MOST, self.CLOSED * 2.0**srv.strikes)
-        srv.strikes += 1
+        srv.open_until = now + min(self.OPEN_MOST, self.OPEN * 2.0**srv.trips)
+        srv.trips += 1
         return True
--- a/onyxpost/policy/window.py
+++ b/onyxpost/policy/window.py
@@ -22,7 +22,7 @@
 
     def full(self, srvs: list[Srv], out: int, share: float = 1.0) -> bool:
         # Those passed over give no room: a lost zone would else overdrive the servers left.
-        return out >= share * max(2.0, self.room * sum(1 for s in srvs if not s.strikes))
+        return out >= share * max(2.0, self.room * sum(1 for s in srvs if not s.trips))
 
     def late(self, d: Attempt, waited: float) -> float:
         return float(d.sent >= self.cut_at and waited > self.LATE * d.req.frontend.response_target)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -172,7 +172,7 @@
         before = [kinds(host.arrive())[0] for _ in range(40)].count("attempt")
         host = Host(servers=4)
         lost = list(host.gateway.servers.known)[:2]
-        while not all(host.gateway.servers.known[name].strikes for name in lost):
+        while not all(host.gateway.servers.known[name].trips for name in lost):
             ((_, req, server, _),) = host.arrive()
             host.end(req, Result.LOST if server in lost else Result.OK, settled=True)
         after = [kinds(host.arrive())[0] for _ in range(40)].count("attempt")
@@ -199,7 +199,7 @@
         for i in range(100):
             ((_, req, _, _),) = host.arrive()
             host.end(req, Result.LOST if i % 10 == 9 else Result.OK, settled=True)
-        self.assertEqual([s.strikes for s in host.gateway.servers.known.values()], [0])
+        self.assertEqual([s.trips for s in host.gateway.servers.known.values()], [0])
 
     def test_servers_that_are_gone_are_forgotten(self) -> None:
         host = Host(servers=4)
