--- a/onyxpost/interface.py
+++ b/onyxpost/interface.py
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """rate 0: no quota in units; concurrency_limit 0: none on attempts out; ceiling_rate 0: no hard ceiling."""
+    """rate 0: no quota in units; ceiling_rate 0: no hard ceiling; concurrency_limit 0: none on attempts."""
 
     name: str
     rate: float
--- a/onyxpost/policy/servers.py
+++ b/onyxpost/policy/servers.py
@@ -121,7 +121,7 @@
                 writer.log(f"server {srv.id} passed over: {result.label} failed={failed:.0f} good={good:.0f}")
 
     def trip(self, now: float, srv: reqs.Srv) -> bool:
-        """Open the circuit breaker of a failing server for a while; never those of more than half of the fleet."""
+        """Open a failing server's circuit breaker for a while; never those of more than half of the fleet."""
         open_now = sum(1 for s in self.ready if s.trips and s is not srv)
         if now < srv.open_until or 2 * open_now >= len(self.ready):
             return False
