--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -156,7 +156,7 @@
             self.assertEqual(await asyncio.wait_for(ends.get(), 5.0), m.Ended(7, Result.UNUSED, 0.0))
             self.assertEqual(server.got, [])
 
-    async def test_a_server_told_to_drain_while_a_attempt_connects_gets_no_byte_of_it(self) -> None:
+    async def test_a_server_told_to_drain_while_an_attempt_connects_gets_no_byte_of_it(self) -> None:
         ends: asyncio.Queue[m.Incoming] = asyncio.Queue()
         drains: set[m.Place] = set()
         servers = pool_of(ends.put_nowait, wanted=lambda place: place not in drains)
