SIGTERM before the loop listens to signals, or after it has ended, is exit 0 too

Observed: a SIGTERM while the node's file is read, and a second one while the process ends, gave exit -15. The first comes before `net.signals`; and asyncio gives SIGTERM its default back when the loop closes.

Change: `process.serve` has a handler until the loop's own is there; `Sockets.deaf` puts one in place that does nothing (SIGTERM ignored would be handed on to what a test starts).

Result: two tests with a process of their own; both give -15 without the change.

--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -143,7 +143,10 @@
         signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(reread))
 
     def deaf(self) -> None:
+        """What comes while the process ends changes nothing: the loop's own handlers would end before it."""
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
+        signal.signal(signal.SIGTERM, lambda *_: None)
 
     def settled(self) -> None:
         """What is here at the start stays: the collector need not look at it again."""
--- a/onyxpost/process.py
+++ b/onyxpost/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol, TypeVar
@@ -25,6 +26,7 @@
 
 def serve(read: Callable[[], T], run: Callable[[T, Lines], Coroutine[Any, Any, int]]) -> int:
     """Exit 0: told to stop. Exit 1: an address cannot be had. Exit 2: the file cannot be used."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))  # until the loop has a handler of its own
     try:
         told = read()
     except Unreadable as err:
--- a/tests/test_sigterm.py
+++ b/tests/test_sigterm.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -29,6 +33,43 @@
     signal.raise_signal(signal.SIGTERM)
 
 
+AFTER = """
+import asyncio, signal
+from onyxpost.edge.net import Sockets
+
+async def main():
+    net = Sockets()
+    net.signals(lambda: None, lambda: None)
+    net.deaf()
+
+asyncio.run(main())
+for number in (signal.SIGTERM, signal.SIGHUP):
+    signal.raise_signal(number)
+"""
+
+
+class OutsideTheLoop(unittest.TestCase):
+    """Where the process runs, but its loop has no handler yet, or has none any more."""
+
+    def test_while_its_file_is_still_being_read(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "node.json")
+            os.mkfifo(path)
+            environ = {**os.environ, "EDGE_CONFIG": path}
+            with subprocess.Popen([sys.executable, "-m", "onyxpost", "serve"], env=environ) as process:
+                written = None
+                while written is None and process.poll() is None:
+                    with contextlib.suppress(OSError):  # not opened yet
+                        written = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                process.terminate()
+                if written is not None:
+                    os.close(written)  # a signal just ahead of the read would not end it
+                self.assertEqual(process.wait(), 0)
+
+    def test_when_all_is_done(self) -> None:
+        self.assertEqual(subprocess.run([sys.executable, "-c", AFTER]).returncode, 0)
+
+
 class Told(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.enterContext(mock.patch("onyxpost.edge.program.ACCEPT_ON", 0.05))
