A parting client is not cut over bytes that the node itself was too slow to read

Change: past its time a parting client with unread bytes is read on once more, for as long again, then cut.

--- a/onyxpost/edge/client.py
+++ b/onyxpost/edge/client.py
@@ -24,6 +24,7 @@
         self.fresh = True  # nothing answered yet: its first req may be on its way
         self.beyond = False  # the node's room: its one req is read, denied, and the connection closed
         self.ahead = False  # it sent more before it had its answer: that is thrown away, and it is closed
+        self.spared = False  # past its time it had unread bytes: the node itself may have stood still
         self.request: h11.Request | None = None
         self.asked: m.Asked | None = None  # what its head says, unless it asks for the node's health
         self.body = bytearray()
--- a/onyxpost/edge/clients.py
+++ b/onyxpost/edge/clients.py
@@ -277,7 +277,10 @@
     def sweep(self) -> None:
         now = self.clock()
         for client in [client for client in self.parting.values() if now > client.until]:
-            self.cut(client)
+            if client.spared or self.quiet(client):
+                self.cut(client)
+            else:
+                client.spared, client.until = True, now + LINGER
         for client in [client for client in self.open.values() if now > client.until and self.quiet(client)]:
             if client.begun:
                 self.refuse(client, 408, "the req did not come whole in time", close=True)
@@ -289,9 +292,8 @@
         for client in list(self.open.values()):
             self.part(client)
         ends = self.clock() + LAST
-        for client in self.parting.values():
-            if not client.untaken():
-                client.until = min(client.until, ends)
+        for client in [client for client in self.parting.values() if not client.untaken()]:
+            client.until = min(client.until, ends)
         while self.parting:
             self.sweep()
             await asyncio.sleep(0.01)
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -208,6 +208,18 @@
             self.assertEqual((program.held_open(), await heard(client)), (held - 1, b""))
             client.close()
 
+    async def test_one_past_its_time_whose_bytes_the_node_was_too_slow_to_read_is_read_on_once(self) -> None:
+        async with AppServer() as server, Edge(server.address) as edge:
+            client = await self.rested(edge)
+            leave(edge)
+            (parting,) = edge.program.clients.parting.values()
+            for spared in (True, False):
+                client.sendall(b"x")
+                parting.until = 0.0
+                edge.program.clients.sweep()
+                self.assertEqual(parting.number in edge.program.clients.parting, spared)
+            client.close()
+
     async def test_out_of_descriptors_one_that_parts_gives_its_own_at_once(self) -> None:
         async with AppServer() as server, Edge(server.address) as edge:
             client = await self.rested(edge)
