Descriptors in a module of their own; that none is left is logged once in 10 s

Change: edge/descriptors.py shares them out, as program.py did; one line in 10 s says that none is left.

Result: a story that fails without the bound.

--- a/onyxpost/edge/program.py
+++ b/onyxpost/edge/program.py
@@ -11,6 +11,7 @@
 
 from onyxpost.edge import messages as m
 from onyxpost.edge.clients import Clients
+from onyxpost.edge.descriptors import Descriptors
 from onyxpost.edge.discovery import Discovery
 from onyxpost.edge.log import Lines
 from onyxpost.edge.net import Net, Sockets
@@ -31,7 +32,6 @@
 # drain's grace is. What it may hold counts as told, but a send within the grace breaks nothing.
 FIRST_LIST = 500.0
 ACCEPT_ON = 0.6  # s of accepting after SIGTERM: clients may still come for 0.4 s
-SPARE = 48  # descriptors for files, the listener, discovery, peers, what is just being accepted or refused
 
 
 class Phase(Enum):
@@ -54,11 +54,16 @@
         self.round_due = False
         deployment = node.deployment
         self.reducer = Reducer(deployment, deployment.gateway(self.now(), node.seed))
-        self.clients = Clients(deployment, self.net, self.post, self.ready, self.client_room, self.fault)
+        room = self.descriptors = Descriptors(
+            lambda: min(self.node.descriptors, self.most),
+            lambda: 0 if self.links is None else self.links.descriptors(),
+        )
+        self.clients = Clients(deployment, self.net, self.post, self.ready, room.client_room, self.fault)
         self.servers = Servers(
-            self.net, self.post, self.server_room, self.reducer.wanted, self.may_begin, self.fault,
+            self.net, self.post, room.server_room, self.reducer.wanted, self.may_begin, self.fault,
             deployment.connect_timeout, deployment.keep_alive,
         )  # fmt: skip
+        room.clients, room.servers = self.clients, self.servers
         self.discovery = Discovery(
             self.net, node.discovery, node.known.generation, self.post, self.log, node.seed,
             deployment.must_ask,
@@ -271,34 +276,6 @@
             self.hears[topic] = by
             self.links.topics.add(topic)
 
-    # Descriptors
-
-    def descriptors(self) -> int:
-        return min(self.node.descriptors, self.most)
-
-    def spare(self) -> int:
-        return min(SPARE, self.descriptors() // 4)
-
-    def held_open(self) -> int:
-        fleet = 0 if self.links is None else self.links.descriptors()
-        clients = len(self.clients.open) + len(self.clients.parting)
-        return clients + self.servers.links + self.spare() + fleet
-
-    def client_room(self) -> bool:
-        """Is there room for one client more? The front opens a third of the descriptors at most, and one that
-        has asked keeps its place there: so from a quarter on, those between reqs and those that say nothing
-        give way. All together leave two fifths to the servers' connections: what cannot be sent on is of no
-        use."""
-        descriptors, clients = self.descriptors(), len(self.clients.open)
-        if clients >= descriptors // 4 and self.clients.make_room():
-            return self.server_room()  # what has parted for longest goes: it still holds its descriptor
-        return clients < (descriptors - self.spare()) * 3 // 5 and self.server_room()
-
-    def server_room(self) -> bool:
-        if self.held_open() < self.descriptors():
-            return True
-        return self.clients.cut_parting() or self.servers.make_room()
-
     def sweep(self) -> None:
         self.servers.sweep()
         self.clients.sweep()
@@ -313,4 +290,5 @@
         self.log(m.fault(where, err))
 
     def loop_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        self.fault(str(context.get("message")), context.get("exception"))
+        if not self.descriptors.said(self.now(), err := context.get("exception")):
+            self.fault(str(context.get("message")), err)
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -198,14 +198,14 @@
         async with AppServer() as server, Edge(server.address) as edge:
             client = await self.rested(edge)
             program = edge.program
-            held = program.held_open()
+            held = program.descriptors.held_open()
             leave(edge)
-            self.assertEqual((program.held_open(), len(program.clients.open)), (held, 0))
+            self.assertEqual((program.descriptors.held_open(), len(program.clients.open)), (held, 0))
             (parting,) = program.clients.parting.values()
             self.assertLessEqual(parting.until, program.now() + edge_clients.LINGER)
             parting.until = 0.0
             await until(lambda: not program.clients.parting)  # the sweep's
-            self.assertEqual((program.held_open(), await heard(client)), (held - 1, b""))
+            self.assertEqual((program.descriptors.held_open(), await heard(client)), (held - 1, b""))
             client.close()
 
     async def test_one_past_its_time_whose_bytes_the_node_was_too_slow_to_read_is_read_on_once(self) -> None:
@@ -224,9 +224,9 @@
         async with AppServer() as server, Edge(server.address) as edge:
             client = await self.rested(edge)
             leave(edge)
-            with mock.patch.object(edge.program, "held_open", lambda: 1 << 30):
+            with mock.patch.object(edge.program.descriptors, "held_open", lambda: 1 << 30):
                 links = edge.program.servers.links
-                self.assertTrue(edge.program.server_room())
+                self.assertTrue(edge.program.descriptors.server_room())
             self.assertEqual((edge.program.clients.parting, edge.program.servers.links), ({}, links))
             client.close()
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import resource
@@ -14,6 +15,7 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
+from onyxpost.edge import descriptors
 from tests.host import AppServer, Edge, node_fields, wire_req
 
 HEALTHZ = b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"
@@ -111,6 +113,13 @@
             self.assertIn(status, (b"200", b"429", b"502", b"503"))
         said.close()
 
+    def test_that_none_is_left_is_told_once_in_a_while_and_what_else_fails_each_time(self) -> None:
+        room = descriptors.Descriptors(lambda: 40, lambda: 0)
+        full, other = OSError(errno.EMFILE, "Too many open files"), OSError(errno.EIO, "x")
+        ats = [0.0, 0.1, 9_999.0, 10_000.0, 10_001.0]
+        self.assertEqual([room.said(at, full) for at in ats], [False, True, True, False, True])
+        self.assertEqual([room.said(10_002.0, err) for err in (other, None)], [False] * 2)
+
     async def test_a_small_limit_in_the_nodes_file(self) -> None:
         for sockets in (40, 64):
             async with AppServer(None) as first, AppServer() as second:
