Moves that outrun their agents leave two watches, not one a SIGHUP

Cause: each SIGHUP that names another discovery began a watch, and only the list of a later one ended earlier ones. While the agents were silent all went on, each with up to three questions. Sixty moves between two silent agents: 61 watches, over 1000 descriptors of the node, 65% of a CPU. At fault: `Discovery.move`.

Change: a move ends the watches that were moved to before and have told nothing: nobody names their agent now. The first one, which may still have news, goes on until the last one has told its list.

The new test fails without the change.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -56,9 +56,14 @@
                 await self.asked.wait()
 
     def move(self, address: m.Address) -> None:
-        """The old watch goes on until the new address has told its list, so nothing is missed between."""
+        """The old watch goes on until the new address has told its list, so nothing is missed between. One
+        moved to before that has told nothing yet, and nobody names it now: it ends."""
         if address != self.address and self.watches:
+            for between in list(self.watches)[1:]:
+                between.cancel()
+                del self.watches[between]
             self.watch_at(address, moved=True)
+            self.may_become_old()
         self.address, self.too = address, None
 
     def watch_at(self, address: m.Address, moved: bool = False) -> None:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -123,6 +123,31 @@
         self.assertEqual([wait for _, wait in new.questions].count(0.0), 1)
         self.assertEqual([log.event for log in logs].count("discovery moved"), 1)
 
+    def test_moves_that_outrun_the_agents_leave_the_old_watch_and_the_last_one(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            await asyncio.sleep(0.5)
+            first = next(iter(node.watches))
+            for number in (1, 2, 1, 2, 1):
+                node.move((f"a{number}", 1))
+                await asyncio.sleep(0.3)
+                self.assertEqual((len(node.watches), next(iter(node.watches))), (2, first))
+            self.asked = len(away.questions)
+            node.move(("a3", 1))
+            await asyncio.sleep(1.0)
+            self.assertEqual(([*node.watches] == [first], len(node.watches)), (False, 1))
+
+        class Silent(Agent):
+            async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                self.questions.append((self.now(), 0.0))
+                await asyncio.sleep(3600.0)
+
+        away = Silent(EVER)
+        _, _, logs = play([Agent(EVER), Silent(EVER), away, Agent(EVER)], story)
+        self.assertEqual(len(away.questions), self.asked)
+        self.assertEqual([log.event for log in logs].count("discovery moved"), 1)
+
     def test_what_the_old_agent_turns_away_after_a_move_is_not_feared(self) -> None:
         async def story(node: Discovery, net: Network) -> None:
             node.begin()
