--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -160,6 +160,7 @@
             loop.add_signal_handler(number, stop)
         # Not the loop's: with the loop it would end, and SIGHUP then ends a process that is just leaving.
         signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(reread))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one came before?
 
     def descriptors(self) -> int:
         """How many sockets this process may have, whatever its file says."""
--- a/onyxpost/process.py
+++ b/onyxpost/process.py
@@ -26,7 +26,9 @@
 
 def serve(read: Callable[[], T], run: Callable[[T, Lines], Coroutine[Any, Any, int]]) -> int:
     """Exit 0: told to stop. Exit 1: an address cannot be had. Exit 2: the file cannot be used."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))  # until the loop has a handler of its own
+    # Until the loop has handlers of its own. SIGHUP waits for that: what was read may be old by then.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     try:
         told = read()
     except Unreadable as err:
