A server is not passed over because this node has no descriptor for an attempt

Cause: an attempt that found no room among the node's own descriptors, or whose dial failed by EMFILE and the like, ended as "no connection". The module takes that for a server that is not there and opens its circuit breaker at once: after one denied req two of four servers were passed over, for 1 s and doubling up to 8 s, also once descriptors were free again. At fault: `Servers.connect` and the last `except` of `Servers.run`.

Change: where the system or the node itself lacks something the attempt ends as unused: it never ran, and says nothing of its server. The list of such errors, which discovery's watch has already, goes to `net`.

Result: the req is denied as before, no breaker opens, the next req is passed. The new test fails without it.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import errno
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,7 +17,7 @@
 from onyxpost.edge.errors import TurnedAway
 from onyxpost.edge.exchange import READ, again, answered, message
 from onyxpost.edge.listclock import AGAIN, Failure, ListClock
-from onyxpost.edge.net import Net, Reader
+from onyxpost.edge.net import OWN, Net, Reader
 from onyxpost.errors import Unreadable
 
 DIAL = 2000.0  # ms for a connection
@@ -26,7 +25,6 @@
 TURN = 1e-4  # s: a shorter wait may end before the clock has moved
 FIRST = asyncio.FIRST_COMPLETED
 SPOKE = (Failure.TURNED_AWAY, Failure.SPOILT)
-OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # want of this machine
 LIST_MOST = 8 * 1024 * 1024
 
 
--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 import resource
@@ -17,6 +18,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.errors import NotListening
 
+OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # want of this machine
 FILES = 16  # descriptors that are no sockets of the node's: its three files, the loop's and the interpreter's
 
 
--- a/onyxpost/edge/servers.py
+++ b/onyxpost/edge/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import inspect
 from collections.abc import Callable
 from typing import Any, cast
@@ -12,7 +13,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.edge.errors import Cut
 from onyxpost.edge.exchange import READ, again, answered, lean, message
-from onyxpost.edge.net import Line, Net
+from onyxpost.edge.net import OWN, Line, Net
 from onyxpost.interface import Result
 
 KEPT = 0.75  # share of the servers' keep-alive after which an idle connection is retired
@@ -115,6 +116,8 @@
             if not isinstance(err, OSError | EOFError | h11.RemoteProtocolError):
                 self.fault("server", err)
             result = Result.LOST if link is not None and link.written() else Result.NO_CONNECTION
+            if link is None and getattr(err, "errno", None) in OWN:
+                result = Result.UNUSED  # says nothing of the server, which is not to be passed over for it
         finally:
             self.tasks.pop(send.attempt, None)
             self.withdrawn.discard(send.attempt)
@@ -124,7 +127,7 @@
 
     async def connect(self, to: m.Place) -> Link:
         if not self.room():
-            raise OSError("no descriptor left")
+            raise OSError(errno.EMFILE, "no descriptor left")
         self.links += 1
         try:
             async with asyncio.timeout(self.connect_timeout / 1000.0 if self.connect_timeout else None):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import resource
@@ -13,7 +14,9 @@
 import unittest
 from collections.abc import AsyncIterator
 from pathlib import Path
+from unittest import mock
 
+from onyxpost.edge.net import Line
 from tests.host import AppServer, Edge, node_fields, wire_req
 
 HEALTHZ = b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"
@@ -163,5 +166,22 @@
         self.assertNotIn("Too many open files", out)
 
 
+class NoneForAnAttempt(unittest.IsolatedAsyncioTestCase):
+    async def test_no_server_is_passed_over_for_what_this_machine_wants(self) -> None:
+        async with AppServer() as one, AppServer() as two, Edge(one.address, two.address) as edge:
+            program = edge.program
+
+            async def full(*_: object) -> Line:
+                raise OSError(errno.EMFILE, "too many")
+
+            for want, short in (("room", mock.patch.object(program.servers, "room", lambda: False)),
+                                ("dial", mock.patch.object(program.net, "dial", full))):  # fmt: skip
+                with self.subTest(want), short:
+                    self.assertIn(b" 429 ", (await edge.ask(wire_req(trace=want)))[0])
+            self.assertNotIn(b"passed over", edge.out.getvalue())
+            self.assertIn(b" 200 ", (await edge.ask(wire_req(trace="then")))[0])
+            self.assertEqual(len(one.got + two.got), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
