An agent that answers and resets in turn is said to be down once a second, not ten times

Cause: each answer ends an outage and each reset begins one, and each had its line at once. An agent that answers the first question of a connection and resets it at the second gave 22 lines a second for as long as it lasted. At fault: `Discovery.failed` and `told`.

Change: that it is down is said at most once a second, that it is up only where the other was said. An outage that lasts is always said. What the module is told does not change.

The new test fails without it.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -22,6 +22,7 @@
 
 DIAL = 2000.0  # ms for a connection
 PATIENCE = 4000.0  # ms that the oldest question is kept beside newer ones
+SAY = 1000.0  # ms between words on one that goes down: an agent may answer and reset ten times a second
 TURN = 1e-4  # s: a shorter wait may end before the clock has moved
 FIRST = asyncio.FIRST_COMPLETED
 SPOKE = (Failure.TURNED_AWAY, Failure.SPOILT)
@@ -37,7 +38,8 @@
         self.chance, self.shared = Random(seed), shared
         self.net, self.address, self.generation, self.post, self.log = net, address, generation, post, log
         self.too: m.Address | None = None  # where else it may be, until one of both has answered
-        self.down = self.stale = False
+        self.down = self.stale = self.said = False  # said: that it is down
+        self.say_from = 0.0  # ms, from when on that may be said once more
         self.old: asyncio.TimerHandle | None = None  # when news comes to count as told that has not come
         self.asked = asyncio.Event()  # the first answer is here, or there is none to be had
         # Each with its clock, oldest first: after a move, those that the next one is to replace too.
@@ -145,10 +147,12 @@
             return clock.failed(now, failure)
         if not self.down and trial.address == self.address:
             self.down = True
+            self.post(m.ListFailed())
+        if self.down and not self.said and now >= self.say_from and trial.address == self.address:
+            self.said, self.say_from = True, now + SAY
             cause = {"cause": f"{type(err).__name__}: {err}"[:200]}
             cause |= {"remedy": err.remedy} if isinstance(err, Unreadable) else {}
             self.log(m.Log("discovery down", cause, logging.WARNING))
-            self.post(m.ListFailed())
         left = clock.failed(now, failure, question.at)
         if trial.address != self.address:
             clock.hidden, clock.ends = False, 0  # what counts is what the agent holds that is named now
@@ -182,8 +186,9 @@
             older.cancel()
             del self.watches[older]
         if self.down and by == self.address:  # the old one's word says nothing of the one named now
-            self.down = False
-            self.log(m.Log("discovery up", {"generation": listed.generation}))
+            if self.said:
+                self.log(m.Log("discovery up", {"generation": listed.generation}))
+            self.down = self.said = False
         if moved:
             self.log(m.Log("discovery moved", {"generation": listed.generation, "held": self.generation}))
         if listed.generation < self.generation and (moved or not listed.complete):
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -71,7 +71,34 @@
         writer.close()
 
 
+class Resets(Agent):
+    """Answers the first question of each connection, and resets it at the second."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.questions.append((self.now(), 0.0))
+        text = b'{"generation":1,"reset":false,"instances":[]}'
+        writer.write(b"HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+
 class Watches(unittest.TestCase):
+    def test_one_that_answers_and_resets_in_turn_is_said_to_be_down_once_a_second(self) -> None:
+        async def story(node: Discovery, net: Network) -> None:
+            node.begin()
+            await asyncio.sleep(10.0)
+            net.cut_off.add("n")
+            await asyncio.sleep(10.0)
+
+        agent = Resets(EVER)
+        node, _, logs = play([agent], story)
+        events = [log.event for log in logs]
+        self.assertGreater(len(agent.questions), 50)
+        self.assertEqual((events.count("discovery up"), events[-1], node.down),
+                         (events.count("discovery down") - 1, "discovery down", True))  # fmt: skip
+        self.assertIn(events.count("discovery down"), (10, 11))
+
     def test_the_first_question_asks_for_an_answer_at_once_and_the_next_ones_wait(self) -> None:
         async def story(node: Discovery, net: Network) -> None:
             node.begin()
