A discovery whose name cannot be one counts as down, and is no longer the watch's silent end

Cause: "..:1", a label over 63 letters or a NUL in the host is taken as an address, and the look-up then raises UnicodeError or ValueError, which `Discovery.ask` did not know. The watch's task ended by it without a line: the node went on by the list in its file for good, and after such a SIGHUP said nothing of it either. Texts of lists were ruled out: 20 odd ones all end as unusable or are taken.

Change: it is a failure as any other before a connection is up: discovery is down, the log says by what, it is asked on, and SIGHUP can name another.

Result: the new test (three names, then a good one) fails without the change.

--- a/onyxpost/edge/discovery.py
+++ b/onyxpost/edge/discovery.py
@@ -225,7 +225,7 @@
             if response.status_code != 200:
                 raise TurnedAway(f"status {response.status_code}")
             listed = m.listed(text)
-        except (OSError, h11.ProtocolError, Unreadable) as err:
+        except (OSError, ValueError, h11.ProtocolError, Unreadable) as err:  # ValueError: no name
             if line is not None:
                 line.writer.transport.abort()
             begun = line is not None and line.reader.came > came
@@ -286,8 +286,8 @@
     """`up`: the connection had come up; `begun`: bytes of an answer had come."""
     if isinstance(err, TurnedAway):
         return Failure.TURNED_AWAY
-    if begun or not isinstance(err, OSError):
+    if begun or (up and not isinstance(err, OSError)):
         return Failure.SPOILT
-    if err.errno in OWN:
+    if getattr(err, "errno", None) in OWN:
         return Failure.NO_ROOM
     return Failure.ENDED if up else Failure.AWAY
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,13 +1,16 @@
-"""A discovery that all nodes share and that has less room than they have questions, on the virtual clock."""
+"""A discovery that all nodes share and that has less room than they have questions, on the virtual clock; one
+whose name cannot be one, over loopback."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import unittest
 from random import Random
 
 from onyxpost.edge.discovery import Discovery
 from onyxpost.lab.virtual import Network, run
+from tests.host import AppServer, Edge, node_fields
 
 NODES, CALL, OUT = 40, 0.125, 2.0  # a call's work in s; a question that would wait longer is turned away
 EMPTY = b'{"generation":0,"reset":false,"instances":[]}'
@@ -65,5 +68,22 @@
         self.assertLessEqual(busiest, 1.5 * NODES)
 
 
+class NoName(unittest.IsolatedAsyncioTestCase):
+    async def test_a_name_that_cannot_be_one_is_down_until_sighup_names_another(self) -> None:
+        for name in ("..:1", "x" * 64 + ":1", "a\0b:1"):
+            with self.subTest(name):
+                async with AppServer() as server, AppServer(None) as agent, Edge(discovery=name) as edge:
+                    async with asyncio.timeout(5.0):
+                        while b"discovery down" not in edge.out.getvalue():
+                            await asyncio.sleep(0.001)
+                    edge.file = node_fields(server.address, discovery="{}:{}".format(*agent.address))
+                    signal.raise_signal(signal.SIGHUP)
+                    async with asyncio.timeout(5.0):
+                        while not agent.got:
+                            await asyncio.sleep(0.001)
+                    first = next(iter(edge.program.discovery.watches))
+                    self.assertFalse(first.done(), first)
+
+
 if __name__ == "__main__":
     unittest.main()
