--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -57,8 +57,8 @@
         self.assertEqual(kinds(host.arrive()), ["attempt"])
 
     def test_where_lists_are_asked_for_who_took_a_req_in_the_last_seconds_gets_more(self) -> None:
-        """A drain begun since then does not count as told yet: most nodes of a fleet that an overbooked discovery
-        had turned away denied nearly all."""
+        """A drain begun since then does not count as told yet: most nodes of a fleet that an overbooked
+        discovery had turned away denied nearly all."""
         host = Host(servers=1, drain_grace=250.0, must_ask=True)
         ((_, req, _, _),) = host.arrive()
         host.now += 60.0
