--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -166,7 +166,10 @@
         return max(1, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - FILES)
 
     def deaf(self) -> None:
+        """What comes while the process ends changes nothing: the loop's own handlers would end before it."""
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
+        signal.signal(signal.SIGTERM, lambda *_: None)
 
     def settled(self) -> None:
         """What is here at the start stays: the collector need not look at it again."""
