--- a/onyxpost/edge/net.py
+++ b/onyxpost/edge/net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 import resource
@@ -17,6 +18,7 @@
 from onyxpost.edge import messages as m
 from onyxpost.errors import NotListening
 
+OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # want of this machine
 FILES = 16  # descriptors that are no sockets of the node's: its three files, the loop's and the interpreter's
 
 
@@ -160,6 +162,7 @@
             loop.add_signal_handler(number, stop)
         # Not the loop's: with the loop it would end, and SIGHUP then ends a process that is just leaving.
         signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(reread))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one came before?
 
     def descriptors(self) -> int:
         """How many sockets this process may have, whatever its file says."""
