--- a/review/standins.py
+++ b/review/standins.py
@@ -288,6 +288,7 @@
         self.record, self.name, self.target_port = record, name, target_port
         self.is_up = asyncio.Event()
         self.is_up.set()
+        self.open_count = 0
 
     async def open(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -302,11 +303,15 @@
         self.is_up.set()
 
     async def _serve(self, reader, writer):
+        self.open_count += 1
+        self.record(f"{self.name} has {self.open_count} open connections")
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await self.is_up.wait()
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
             await asyncio.gather(self._pass_on(reader, far_writer), self._pass_on(far_reader, writer))
         writer.close()
+        self.open_count -= 1
+        self.record(f"{self.name} has {self.open_count} open connections")
 
     async def _pass_on(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.CancelledError):
