Answers without a length are forwarded when their stream ends

A request that must not be repeated got 502 although its work had run and its whole answer had come; an idempotent one ran twice.

Cause: read_response raised TruncatedResponseError at the end of the stream for every response without Content-Length or Transfer-Encoding, so the end of a stream was taken for a reset.

Change: the end of the stream completes a response without a length, by RFC 9112, section 6.3. A reset raises in the read and completes nothing.

--- a/onyxpost/runtime/errors.py
+++ b/onyxpost/runtime/errors.py
@@ -7,7 +7,7 @@
 
 
 class TruncatedResponseError(OSError):
-    """No complete response to the request was received, or the end of the response cannot be determined.
+    """The connection ended without the complete head of a response, or with too many 1xx responses.
 
     Also raised for bytes that arrive before the request was sent completely, as they cannot be its response.
     """
--- a/onyxpost/runtime/http1.py
+++ b/onyxpost/runtime/http1.py
@@ -40,10 +40,17 @@
 ) -> tuple[h11.Response, bytes]:
     """Reads one complete response and returns its head and body.
 
+    The end of the stream completes a response without framing headers (RFC 9112, section 6.3).
+
+    Args:
+        http: the client side of the connection.
+        read: returns the next bytes, or empty bytes at the end of the stream. It raises an error for a reset,
+            which does not complete a response.
+        max_body_bytes: the longest body accepted.
+
     Raises:
-        TruncatedResponseError: the connection ended before the head was complete or during a response without
-            framing headers, whose end is therefore unknown, or more than `MAX_INFORMATIONAL_RESPONSES` 1xx
-            responses arrived.
+        TruncatedResponseError: the stream ended before the head was complete, or more than
+            `MAX_INFORMATIONAL_RESPONSES` 1xx responses arrived.
         h11.RemoteProtocolError: the response is malformed or truncated, or its body exceeds `max_body_bytes`.
     """
     response: h11.Response | None = None
@@ -53,8 +60,8 @@
         event = http.next_event()
         if event is h11.NEED_DATA:
             data = await read()
-            if not data and not _is_framed(response):
-                raise TruncatedResponseError("connection ended before the response was complete")
+            if not data and response is None:
+                raise TruncatedResponseError("connection ended before the head of the response was complete")
             http.receive_data(data)
         elif isinstance(event, h11.Response):
             response = event
@@ -95,8 +102,3 @@
             f"response has {len(values)} framing headers instead of at most 1, or its body exceeds "
             f"{max_body_bytes} bytes"
         )
-
-
-def _is_framed(response: h11.Response | None) -> bool:
-    """Returns whether the response has framing headers; without them a truncated body looks complete."""
-    return response is not None and any(name in FRAMING_HEADERS for name, _ in response.headers)
