Connections whose stream ended with a response are not used again

What an operator would have seen: with discovery answers that have no length and end their connection, `discovery down` and `discovery up` in turn, 99 polls in 9 s where 11 are due.

Cause: after a response without a length h11 counts both sides as done, also when the end of the stream completed it, so start_next_cycle kept the connection. The next poll was written to it and read the end of the stream (cause in the log: can't handle event type ConnectionClosed). The pool of app servers asks the stream itself and was not affected: the tests of responses without a length check it.

Change: start_next_cycle is False once the other side's stream has ended.

Tests: the watch goes on with lists without a length; fails without the change, and on. A list without a length that is reset right behind its last byte is not taken, and may hide a change: passes before and after.

--- a/onyxpost/runtime/http1.py
+++ b/onyxpost/runtime/http1.py
@@ -87,9 +87,11 @@
 def start_next_cycle(http: h11.Connection) -> bool:
     """Prepares the connection for the next exchange; returns False if the connection cannot be reused.
 
-    A connection can be reused if both sides have finished this exchange and neither asked to close.
+    A connection can be reused if both sides have finished this exchange, neither asked to close, and the
+    stream of the other side has not ended, as it does with a response without framing headers.
     """
-    if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+    _, has_stream_ended = http.trailing_data
+    if http.our_state is not h11.DONE or http.their_state is not h11.DONE or has_stream_ended:
         return False
     http.start_next_cycle()
     return True
--- a/tests/edge/discovery_agents.py
+++ b/tests/edge/discovery_agents.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable, Sequence
+from enum import Enum
 from math import inf
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple, Protocol
@@ -64,12 +66,14 @@
     """Answers polls at the end of the long poll, or with a change from `change_at` (ms) on.
 
     From `silent_at` (ms) on, connections that were opened before get no answer, or with `truncated` an answer
-    without its last byte. Polls on newer connections are answered.
+    without its last byte. Polls on newer connections are answered. With an `ending`, answers have no length
+    and each ends its connection.
     """
 
-    def __init__(self, silent_at: float = inf, truncated: bool = False) -> None:
+    def __init__(self, silent_at: float = inf, truncated: bool = False, ending: Ending | None = None) -> None:
         self.silent_at = silent_at
         self.truncated = truncated
+        self.ending = ending
         self.change_at = inf
         self.status = 200
         self.polls: list[Poll] = []
@@ -93,6 +97,9 @@
                 writer.write(answer[: -1 if self.truncated else 0])
                 await asyncio.sleep(SILENCE_SECONDS)
             writer.write(answer)
+            if self.ending is not None:
+                end_connection(writer, self.ending)
+                return
 
     async def wait_for_change(self, head: bytes, long_poll_ms: float) -> None:
         knows_the_change = b"since=2" in head
@@ -107,7 +114,27 @@
     def answer(self) -> bytes:
         changed = now_ms() >= self.change_at
         endpoint = b'{"instanceId":"s0","hostPort":"h:1","lifecycle":"draining"}' if changed else b""
-        return encode_list(1 + changed, endpoint, status=self.status)
+        answer = encode_list(1 + changed, endpoint, status=self.status)
+        return answer if self.ending is None else without_length(answer)
+
+
+class Ending(Enum):
+    """How an agent ends a connection."""
+
+    END_OF_STREAM = "end of stream"
+    RESET = "reset"
+
+
+def end_connection(writer: asyncio.StreamWriter, ending: Ending) -> None:
+    if ending is Ending.RESET:
+        writer.transport.abort()
+    else:
+        writer.close()
+
+
+def without_length(answer: bytes) -> bytes:
+    """Returns an answer without its header Content-Length."""
+    return re.sub(rb"Content-Length: \d+\r\n", b"", answer)
 
 
 def encode_list(
--- a/tests/edge/test_discovery_watch.py
+++ b/tests/edge/test_discovery_watch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 from dataclasses import replace
 from math import inf
@@ -21,6 +22,7 @@
     NODE_HOST,
     SILENCE_SECONDS,
     Agent,
+    Ending,
     Poll,
     encode_list,
     now_ms,
@@ -210,6 +212,39 @@
     assert (EndpointUpdateFailed(is_stale=True) in events) == makes_stale
 
 
+# Guards against polls on ended connections: docs/incidents/2026-12-04-polls-on-ended-connections.md.
+def test_a_watch_goes_on_with_lists_without_length_that_end_their_connections() -> None:
+    async def scenario(discovery: DiscoveryClient, _network: Network) -> None:
+        discovery.start()
+        await asyncio.sleep(9.0)
+
+    agent = Agent(ending=Ending.END_OF_STREAM)
+    agent.change_at = 4500.0
+    result = run_watch([agent], scenario)
+    changes = [
+        posted.at
+        for posted in result.posted
+        if isinstance(posted.event, EndpointUpdate) and posted.event.endpoints
+    ]
+    assert 4500.0 <= changes[0] < 4500.0 + WATCH_EXPIRY_MS
+    assert EndpointUpdateFailed(is_stale=True) not in result.events()
+    assert "discovery down" not in result.log_events()
+    for poll, next_poll in itertools.pairwise(agent.polls):
+        assert next_poll.at - (poll.at + poll.long_poll_ms) < WATCH_EXPIRY_MS
+
+
+def test_a_list_without_length_is_not_taken_after_a_reset_and_may_hide_a_change() -> None:
+    async def scenario(discovery: DiscoveryClient, _network: Network) -> None:
+        discovery.start()
+        await asyncio.sleep(9.0)
+
+    agent = Agent(ending=Ending.RESET)
+    agent.change_at = 0.0
+    events = run_watch([agent], scenario).events()
+    assert EndpointUpdateFailed(is_stale=True) in events
+    assert [event for event in events if isinstance(event, EndpointUpdate)] == []
+
+
 def test_a_complete_list_of_a_restarted_discovery_is_applied_at_a_lower_generation() -> None:
     async def scenario(discovery: DiscoveryClient, _network: Network) -> None:
         discovery.start()
