Fenced calls: tests of responses without a length, ended and reset

Need: all readers of answers share read_response. A resource that closes after its response, as the call asks for, may send no length: the call failed as possibly executed although it was confirmed.

Change: tests only, for both statuses and both endings.

--- a/tests/leadership/test_fenced_calls.py
+++ b/tests/leadership/test_fenced_calls.py
@@ -1,14 +1,16 @@
 """Fenced calls of leaders on the virtual network."""
 
 import asyncio
+from random import Random
 
 import pytest
 
 from onyxpost.leadership.errors import FencedCallError, HigherFencingTokenError, NotLeaderError
 from onyxpost.leadership.fenced_call import FencedCall, execute
 from onyxpost.leadership.leadership_log import RECORD_COMMITTED
+from onyxpost.simulation import virtual_time
 from onyxpost.simulation.model_checking.virtual_cluster import FENCED_RESOURCE_ADDRESS, VirtualCluster
-from tests.leadership.cluster import TIMEOUT_MS, FencedResource, run_cluster
+from tests.leadership.cluster import READ_BYTES, TIMEOUT_MS, FencedResource, run_cluster
 
 ROLE = "d0"
 
@@ -96,3 +98,37 @@
         assert cluster.logged_fields(RECORD_COMMITTED)
 
     run_cluster(scenario, resource=FENCED_RESOURCE_ADDRESS)
+
+
+def call_answered_without_length(head: bytes, *, is_reset: bool) -> None:
+    """Makes a call whose response has no length and is followed by the end of the stream or by a reset."""
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head + b"\r\n\r\ndone")
+        if is_reset:
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    async def main() -> None:
+        network = virtual_time.Network(Random(1))
+        await network.host("resource").listen(answer, FENCED_RESOURCE_ADDRESS, READ_BYTES, 16)
+        call = FencedCall(FENCED_RESOURCE_ADDRESS, ROLE, 7, "n0", b"x", TIMEOUT_MS)
+        await execute(network.host("n0"), call, lambda: True)
+
+    virtual_time.run(main())
+
+
+# Guards against failing calls that were executed: docs/incidents/2026-12-04-answers-without-a-length.md.
+def test_a_response_without_length_confirms_or_rejects_a_call_at_the_end_of_its_stream() -> None:
+    call_answered_without_length(b"HTTP/1.1 200 OK", is_reset=False)
+    with pytest.raises(HigherFencingTokenError) as rejection:
+        call_answered_without_length(b"HTTP/1.1 409 Conflict\r\nFence: 8", is_reset=False)
+    assert rejection.value.fencing_token == 8
+
+
+@pytest.mark.parametrize("head", [b"HTTP/1.1 200 OK", b"HTTP/1.1 409 Conflict\r\nFence: 8"])
+def test_a_response_without_length_says_nothing_after_a_reset(head: bytes) -> None:
+    with pytest.raises(FencedCallError):
+        call_answered_without_length(head, is_reset=True)
