Tests of port reservation run in one worker, as they share a seed

Cause: its three tests reserve the ports of seed 7 and were spread over pytest's workers; one that reserves between the two calls of another takes its ports.

Change: one xdist group. No assertion changes.

--- a/tests/simulation/multiprocess/test_port_reservation.py
+++ b/tests/simulation/multiprocess/test_port_reservation.py
@@ -12,6 +12,9 @@
 from onyxpost.simulation.multiprocess import port_reservation
 from onyxpost.simulation.multiprocess.port_reservation import PortReservation
 
+# The tests reserve ports of one seed; side by side, they would see each other's reservations.
+pytestmark = pytest.mark.xdist_group("port reservation")
+
 SEED = 7
 COUNT = 5
 RESERVE_AND_WAIT = f"""
