Simulation: standard names for four things that other packages use

Change: EPOCH is START_UNIX_MS, the settings SETTINGS are DEPLOYMENT_SETTINGS, Connection.carry is transmit, ConnectionEnd.is_shut is is_closed.

--- a/onyxpost/simulation/deterministic/cluster.py
+++ b/onyxpost/simulation/deterministic/cluster.py
@@ -21,7 +21,7 @@
 from onyxpost.simulation.deterministic.node import LogLine, SimulatedNode
 from onyxpost.simulation.deterministic.observer import ClusterObserver
 from onyxpost.simulation.invariants import InvariantChecker
-from onyxpost.simulation.settings import SETTINGS
+from onyxpost.simulation.settings import DEPLOYMENT_SETTINGS
 from onyxpost.simulation.stubs import AppServer
 from onyxpost.simulation.virtual_time import Network
 
@@ -48,7 +48,7 @@
         node_count: int,
         server_count: int,
         mutation: Callable[[EdgeNode], None] | None = None,
-        settings: dict[str, Any] = SETTINGS,
+        settings: dict[str, Any] = DEPLOYMENT_SETTINGS,
     ) -> None:
         self.seed = seed
         self.mutation = mutation
--- a/onyxpost/simulation/deterministic/node.py
+++ b/onyxpost/simulation/deterministic/node.py
@@ -12,7 +12,7 @@
 from onyxpost.simulation.deterministic import deployment
 from onyxpost.simulation.deterministic.discovery_agent import FailingAgent
 from onyxpost.simulation.invariants import Invariant, Violation
-from onyxpost.simulation.virtual_time import EPOCH
+from onyxpost.simulation.virtual_time import START_UNIX_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,10 +64,12 @@
         level: int = logging.INFO,  # noqa: ARG002 - the signature of `StructuredLog`
     ) -> None:
         """Records an event with its time `at` in Unix ms."""
-        self._cluster.log_lines.append(LogLine(round(at - EPOCH, 3), self._node, event))
+        self._cluster.log_lines.append(LogLine(round(at - START_UNIX_MS, 3), self._node, event))
         if event in FAULT_EVENTS:
             cause = str(fields.get("cause", fields.get("request", "")))[-MAX_CAUSE_LENGTH:]
-            violation = Violation(Invariant.ANSWERS, at - EPOCH, self._node, "", "", f"{event}: {cause}")
+            violation = Violation(
+                Invariant.ANSWERS, at - START_UNIX_MS, self._node, "", "", f"{event}: {cause}"
+            )
             self._cluster.checker.record_violation(violation)
 
 
--- a/onyxpost/simulation/deterministic/seed_run.py
+++ b/onyxpost/simulation/deterministic/seed_run.py
@@ -15,7 +15,7 @@
 from onyxpost.simulation.deterministic.fault_injector import FaultInjector
 from onyxpost.simulation.deterministic.fault_script import Fault, FaultKind, draw_script, script_seconds
 from onyxpost.simulation.mutations import find_mutation
-from onyxpost.simulation.settings import SETTINGS, SLOW_CONNECT_SETTINGS
+from onyxpost.simulation.settings import DEPLOYMENT_SETTINGS, SLOW_CONNECT_SETTINGS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -156,7 +156,7 @@
 ) -> Outcome:
     """Runs a script on a new cluster; must be called while a `VirtualTimeLoop` is running."""
     has_early_disconnects = any(fault.kind is FaultKind.EARLY_DISCONNECTS for fault in faults)
-    settings = SLOW_CONNECT_SETTINGS if has_early_disconnects else SETTINGS
+    settings = SLOW_CONNECT_SETTINGS if has_early_disconnects else DEPLOYMENT_SETTINGS
     cluster = Cluster(seed, NODE_COUNT, SERVER_COUNT, mutation, settings)
     return await ScriptRun(seed, faults, cluster).run()
 
--- a/onyxpost/simulation/discrete_event/endpoint_updates.py
+++ b/onyxpost/simulation/discrete_event/endpoint_updates.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from onyxpost.core.types import EndpointState, EndpointStatus
-from onyxpost.simulation.virtual_time import EPOCH
+from onyxpost.simulation.virtual_time import START_UNIX_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -47,7 +47,7 @@
         """Sets the endpoints that the node knows at the start of the run."""
         for server in servers:
             self.known_servers[server.server_id] = server
-            self.statuses[server.server_id] = server.endpoint_status(EPOCH)
+            self.statuses[server.server_id] = server.endpoint_status(START_UNIX_MS)
 
     def schedule(self, server: ServerModel, delay_ms: float) -> None:
         """Delivers a change after a delay, or with the update that is already scheduled."""
@@ -63,7 +63,7 @@
         self._is_scheduled = False
         changed = list(self._changed.values())
         self._changed = {}
-        statuses = [server.endpoint_status(EPOCH) for server in changed]
+        statuses = [server.endpoint_status(START_UNIX_MS) for server in changed]
         for server, status in zip(changed, statuses, strict=True):
             if status.state is EndpointState.GONE:
                 self.statuses.pop(server.server_id, None)
--- a/onyxpost/simulation/discrete_event/node_model.py
+++ b/onyxpost/simulation/discrete_event/node_model.py
@@ -23,7 +23,7 @@
 from onyxpost.simulation.discrete_event.message_rate_limit import MessageRateLimit
 from onyxpost.simulation.discrete_event.outcomes import Outcome
 from onyxpost.simulation.discrete_event.pending_requests import PendingRequests
-from onyxpost.simulation.virtual_time import EPOCH
+from onyxpost.simulation.virtual_time import START_UNIX_MS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -120,7 +120,7 @@
                 pending.on_outcome(Outcome.NODE_DOWN, 0.0)
 
     def _now(self) -> float:
-        return EPOCH + self._clock.now_ms
+        return START_UNIX_MS + self._clock.now_ms
 
     def handle(self, *events: Event) -> None:
         """Passes events to the gateway, and then the events that its decisions caused."""
@@ -143,7 +143,7 @@
         customer = request.customer
         event = RequestArrived(
             request_id,
-            EPOCH + pending.deadline_ms,
+            START_UNIX_MS + pending.deadline_ms,
             request.frontend.name,
             customer.key,
             customer.plan.name,
--- a/onyxpost/simulation/discrete_event/planner_model.py
+++ b/onyxpost/simulation/discrete_event/planner_model.py
@@ -10,7 +10,7 @@
 from onyxpost.planner.config import PlannerConfig
 from onyxpost.planner.lease_coordinator import LeaseCoordinator
 from onyxpost.planner.lease_terms import LeaseTerms
-from onyxpost.simulation.virtual_time import EPOCH
+from onyxpost.simulation.virtual_time import START_UNIX_MS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -64,7 +64,7 @@
         self.connections: dict[tuple[str, str], _Connection] = {}  # by names of node and planner
 
     def _now(self) -> float:
-        return EPOCH + self._clock.now_ms
+        return START_UNIX_MS + self._clock.now_ms
 
     def _config(self, planner: str) -> PlannerConfig:
         return PlannerConfig(
--- a/onyxpost/simulation/multiprocess/edge_environment.py
+++ b/onyxpost/simulation/multiprocess/edge_environment.py
@@ -29,7 +29,7 @@
 from onyxpost.simulation.multiprocess.load_generator import LoadGenerator
 from onyxpost.simulation.multiprocess.node_file import node_file
 from onyxpost.simulation.multiprocess.process_invariants import no_process_failures
-from onyxpost.simulation.settings import SETTINGS
+from onyxpost.simulation.settings import DEPLOYMENT_SETTINGS
 from onyxpost.simulation.stubs import AttemptKey, DiscoveryAgent, NullObserver, ServerIdentity
 
 if TYPE_CHECKING:
@@ -52,7 +52,7 @@
         self.context = context
         self.transport = SocketTransport()
         self.rng = Random(f"{context.seed}/stage")
-        settings = SETTINGS | {"ordinal": 0, "n_instances": context.scenario.nodes}
+        settings = DEPLOYMENT_SETTINGS | {"ordinal": 0, "n_instances": context.scenario.nodes}
         self.deployment = deployment.decode_deployment(settings)
         self.servers = {index: self._create_server(index, 0) for index in range(context.scenario.servers)}
         self.agents = [
@@ -77,7 +77,10 @@
             context.addresses[f"d{index}"] = agent.listener.sockets[0].getsockname()
             discovery = format_address(await context.proxy.tcp.open(f"n{index}", f"d{index}"))
             fields = node_file(context, index, agent, discovery, peers[index])
-            fields["settings"] = SETTINGS | {"ordinal": index, "n_instances": context.scenario.nodes}
+            fields["settings"] = DEPLOYMENT_SETTINGS | {
+                "ordinal": index,
+                "n_instances": context.scenario.nodes,
+            }
             context.processes.set_file(f"n{index}", fields)
 
     async def run_load(self, seconds: float) -> None:
--- a/onyxpost/simulation/multiprocess/leadership_environment.py
+++ b/onyxpost/simulation/multiprocess/leadership_environment.py
@@ -19,7 +19,7 @@
 from onyxpost.simulation.multiprocess.node_log import LeadershipAcquired, RecordCommitted
 from onyxpost.simulation.multiprocess.process_invariants import no_process_failures
 from onyxpost.simulation.multiprocess.recovery_epochs import RecoveryEpochsJustified
-from onyxpost.simulation.settings import SETTINGS
+from onyxpost.simulation.settings import DEPLOYMENT_SETTINGS
 from onyxpost.simulation.stubs import DiscoveryAgent, NullObserver
 
 if TYPE_CHECKING:
@@ -75,7 +75,7 @@
         for index in context.node_indexes:
             own_udp = format_address(context.addresses[f"n{index}/udp"])
             fields = node_file(context, index, self.agent, discovery, [own_udp])
-            fields["settings"] = SETTINGS | {"ordinal": 0, "n_instances": 1}
+            fields["settings"] = DEPLOYMENT_SETTINGS | {"ordinal": 0, "n_instances": 1}
             fields["fleet"] = self._cluster_section(index, cluster_addresses[index])
             fields["duties"] = await self._leadership_section(index)
             context.processes.set_file(f"n{index}", fields)
--- a/onyxpost/simulation/settings.py
+++ b/onyxpost/simulation/settings.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-SETTINGS: dict[str, Any] = {
+DEPLOYMENT_SETTINGS: dict[str, Any] = {
     "quantum_us": 1000,
     "discovery": "pushed",
     "bounds": {
@@ -48,10 +48,11 @@
 }
 # The same settings with a longer connect timeout, so that clients may disconnect while the node still opens a
 # connection to a server.
-SLOW_CONNECT_SETTINGS = SETTINGS | {
-    "bounds": SETTINGS["bounds"] | {"try_limit": 2, "connect_timeout_us": 600_000},
+SLOW_CONNECT_SETTINGS = DEPLOYMENT_SETTINGS | {
+    "bounds": DEPLOYMENT_SETTINGS["bounds"] | {"try_limit": 2, "connect_timeout_us": 600_000},
     "grades": [
-        frontend | {"deadline_us": 2 * frontend["deadline_us"] + 600_000} for frontend in SETTINGS["grades"]
+        frontend | {"deadline_us": 2 * frontend["deadline_us"] + 600_000}
+        for frontend in DEPLOYMENT_SETTINGS["grades"]
     ],
-    "rules": SETTINGS["rules"] | {"drain_grace_us": 600_000},
+    "rules": DEPLOYMENT_SETTINGS["rules"] | {"drain_grace_us": 600_000},
 }
--- a/onyxpost/simulation/virtual_time/__init__.py
+++ b/onyxpost/simulation/virtual_time/__init__.py
@@ -6,14 +6,14 @@
 
 from onyxpost.simulation.errors import SimulationStalledError
 from onyxpost.simulation.virtual_time.connection import Connection, ConnectionEnd
-from onyxpost.simulation.virtual_time.host import EPOCH, VirtualHost
+from onyxpost.simulation.virtual_time.host import START_UNIX_MS, VirtualHost
 from onyxpost.simulation.virtual_time.listener import VirtualListener
 from onyxpost.simulation.virtual_time.loop import MAX_TURNS_AT_ONE_TIME, VirtualTimeLoop, run
 from onyxpost.simulation.virtual_time.network import Network, PlannedBreak
 
 __all__ = [
-    "EPOCH",
     "MAX_TURNS_AT_ONE_TIME",
+    "START_UNIX_MS",
     "Connection",
     "ConnectionEnd",
     "Network",
--- a/onyxpost/simulation/virtual_time/connection.py
+++ b/onyxpost/simulation/virtual_time/connection.py
@@ -33,7 +33,7 @@
         self.protocol: asyncio.Protocol = asyncio.Protocol()
         self.max_size = 0  # attribute of asyncio's socket transports: the maximum bytes of one read
         self.bytes_sent = 0
-        self.is_shut = False
+        self.is_closed = False
         self.is_lost = False
         self.has_sent_eof = False
         self.has_received_eof = False
@@ -56,15 +56,15 @@
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """Sends bytes to the other end; after a close or `write_eof` they are discarded."""
-        if not self.is_shut and not self.has_sent_eof and data:
+        if not self.is_closed and not self.has_sent_eof and data:
             self.bytes_sent += len(data)
-            self.connection.carry(self, bytes(data))
+            self.connection.transmit(self, bytes(data))
 
     def write_eof(self) -> None:
         """Sends the end of the stream; the other direction stays open."""
-        if not self.has_sent_eof and not self.is_shut:
+        if not self.has_sent_eof and not self.is_closed:
             self.has_sent_eof = True
-            self.connection.carry(self, b"")
+            self.connection.transmit(self, b"")
 
     def can_write_eof(self) -> bool:
         """Returns True: one direction can be closed alone."""
@@ -72,21 +72,21 @@
 
     def close(self) -> None:
         """Closes this end; bytes sent before are still delivered."""
-        if not self.is_shut:
+        if not self.is_closed:
             self.write_eof()
-            self.is_shut = True
+            self.is_closed = True
             self.loop.call_soon(self.lose, None)
 
     def abort(self) -> None:
         """Resets the connection."""
-        if not self.is_shut:
-            self.is_shut = True
+        if not self.is_closed:
+            self.is_closed = True
             self.connection.reset_peer_of(self)
             self.loop.call_soon(self.lose, None)
 
     def is_closing(self) -> bool:
         """Whether this end is closed or is being closed."""
-        return self.is_shut
+        return self.is_closed
 
     def get_extra_info(self, name: str, default: object = None) -> object:  # noqa: ARG002 - asyncio API
         """Returns the default, since there is no socket."""
@@ -114,7 +114,7 @@
 
     def is_reading(self) -> bool:
         """Whether bytes that arrive are passed to the protocol at once."""
-        return not self._is_paused and not self.is_shut
+        return not self._is_paused and not self.is_closed
 
     # Called by the network
 
@@ -125,7 +125,7 @@
 
     def receive(self, data: bytes) -> None:
         """Handles bytes that arrive; b"" is the end of the stream."""
-        if self.is_lost or self.is_shut:
+        if self.is_lost or self.is_closed:
             return
         self.has_received_eof = self.has_received_eof or not data
         if self._is_paused:
@@ -137,8 +137,8 @@
 
     def reset(self) -> None:
         """Handles a reset by the other end or by the network."""
-        if not self.is_lost and not self.is_shut:
-            self.is_shut = True
+        if not self.is_lost and not self.is_closed:
+            self.is_closed = True
             self.lose(ConnectionResetError("reset"))
 
     def lose(self, error: Exception | None) -> None:
@@ -149,7 +149,7 @@
 
     def kill(self) -> None:
         """Kills the process of this end: its program is not notified, and the other end is reset."""
-        self.is_shut = True
+        self.is_closed = True
         self.is_lost = True
         self.connection.reset_peer_of(self)
 
@@ -178,7 +178,7 @@
         """Makes the connection break after `byte_count` bytes sent by `end` have been delivered."""
         self._breaks_after_bytes[end] = byte_count
 
-    def carry(self, end: ConnectionEnd, data: bytes) -> None:
+    def transmit(self, end: ConnectionEnd, data: bytes) -> None:
         """Delivers bytes sent by `end` unless the link is blocked or broken; b"" is the end of the stream."""
         if self.is_broken or self.link.is_blocked(end.host, end.peer.host):
             end.add_undeliverable_bytes(len(data))
--- a/onyxpost/simulation/virtual_time/host.py
+++ b/onyxpost/simulation/virtual_time/host.py
@@ -18,7 +18,7 @@
     from onyxpost.runtime.transport import ConnectionHandler, DialedConnection
     from onyxpost.simulation.virtual_time.listener import VirtualListener
 
-EPOCH = 1_000_000_000_000.0  # Unix ms at the start of a run
+START_UNIX_MS = 1_000_000_000_000.0  # Unix ms at the start of a run
 DESCRIPTOR_LIMIT = 1 << 20  # file descriptors; more than any program here needs
 
 
@@ -74,7 +74,7 @@
 
     def clock(self) -> float:
         """Returns the virtual Unix time in ms."""
-        return EPOCH + self.monotonic()
+        return START_UNIX_MS + self.monotonic()
 
     def monotonic(self) -> float:
         """Returns the virtual time in ms since the start of the run."""
@@ -97,7 +97,7 @@
     def unread_input(self, transport: asyncio.BaseTransport) -> UnreadInput:
         """Returns what an accepted connection has received but not read: bytes, its end or nothing."""
         assert isinstance(transport, ConnectionEnd)
-        if transport.is_shut or transport.has_received_eof:
+        if transport.is_closed or transport.has_received_eof:
             return UnreadInput.END
         return UnreadInput.BYTES if transport.has_unread else UnreadInput.NOTHING
 
--- a/tests/compatibility/network_observer.py
+++ b/tests/compatibility/network_observer.py
@@ -48,7 +48,7 @@
         self._add(network.loop, "accepted", host_number, *address, connection_number)
         return dialed
 
-    def carry(self, original: Any, connection: Connection, end: ConnectionEnd, data: bytes) -> None:
+    def transmit(self, original: Any, connection: Connection, end: ConnectionEnd, data: bytes) -> None:
         """Records bytes that are written."""
         self._add_at_end("write", end, data)
         original(connection, end, data)
@@ -60,13 +60,13 @@
 
     def close(self, original: Any, end: ConnectionEnd) -> None:
         """Records that an end is closed; later calls are not recorded."""
-        if not end.is_shut:
+        if not end.is_closed:
             self._add_at_end("close", end)
         original(end)
 
     def abort(self, original: Any, end: ConnectionEnd) -> None:
         """Records that an end is aborted, unless the end is already closed."""
-        if not end.is_shut:
+        if not end.is_closed:
             self._add_at_end("abort", end)
         original(end)
 
@@ -136,7 +136,7 @@
             (Network, "kill_host", observer.kill_host),
             (VirtualHost, "listen", observer.listen),
             (VirtualListener, "close", observer.stop_listening),
-            (Connection, "carry", observer.carry),
+            (Connection, "transmit", observer.transmit),
             (ConnectionEnd, "receive", observer.receive),
             (ConnectionEnd, "close", observer.close),
             (ConnectionEnd, "abort", observer.abort),
--- a/tests/planner/virtual_cluster.py
+++ b/tests/planner/virtual_cluster.py
@@ -15,7 +15,7 @@
 from onyxpost.runtime.structured_log import StructuredLog
 from onyxpost.simulation import virtual_time
 from onyxpost.simulation.invariants import HardLimitBucket
-from onyxpost.simulation.virtual_time import EPOCH, Network
+from onyxpost.simulation.virtual_time import START_UNIX_MS, Network
 from tests.planner.forwarder_model import SAFE_SHARE, ForwarderModel
 
 if TYPE_CHECKING:
@@ -104,7 +104,7 @@
             forwarder.start()
 
     def count_sent(self, forwarder: ForwarderModel, customer: str, units: int) -> None:
-        now_ms = forwarder.clock() - EPOCH
+        now_ms = forwarder.clock() - START_UNIX_MS
         self.units_sent[customer] += units
         bucket = self.hard_limits.get(customer)
         if bucket is None:
--- a/tests/simulation/multiprocess/test_edge_invariants.py
+++ b/tests/simulation/multiprocess/test_edge_invariants.py
@@ -21,7 +21,7 @@
 from onyxpost.simulation.multiprocess.node_log import RequestOverdue, UnhandledError
 from onyxpost.simulation.multiprocess.process_invariants import PROCESS_FAILURES, no_process_failures
 from onyxpost.simulation.process_group import ProcessChange
-from onyxpost.simulation.settings import SETTINGS
+from onyxpost.simulation.settings import DEPLOYMENT_SETTINGS
 from tests.simulation.multiprocess.events import (
     answered,
     attempt_forwarded,
@@ -44,7 +44,7 @@
 pytestmark = pytest.mark.xdist_group("quiet")  # many processes would disturb tests that measure time
 
 SEED = 9
-DEPLOYMENT = deployment.decode_deployment(SETTINGS | {"ordinal": 0, "n_instances": 3})
+DEPLOYMENT = deployment.decode_deployment(DEPLOYMENT_SETTINGS | {"ordinal": 0, "n_instances": 3})
 EDGE_INVARIANTS = EdgeInvariants(
     EdgeLimits(
         DEPLOYMENT.frontends,
