--- a/onyxpost/runtime/http1.py
+++ b/onyxpost/runtime/http1.py
@@ -40,22 +40,16 @@
 ) -> tuple[h11.Response, bytes]:
     """Reads one complete response and returns its head and body.
 
-    The end of the stream completes a response without framing headers (RFC 9112, section 6.3).
-
-    Args:
-        http: the client side of the connection.
-        read: returns the next bytes, or empty bytes at the end of the stream. It raises an error for a reset,
-            which does not complete a response.
-        max_body_bytes: the longest body accepted.
+    `read` returns empty bytes at the end of the stream, which completes a response without framing headers
+    (RFC 9112, section 6.3), and raises an error for a reset, which does not.
 
     Raises:
-        TruncatedResponseError: the stream ended before the head was complete, or more than
-            `MAX_INFORMATIONAL_RESPONSES` 1xx responses arrived.
+        TruncatedResponseError: the stream ended before the head was complete, or too many 1xx responses came.
         h11.RemoteProtocolError: the response is malformed or truncated, or its body exceeds `max_body_bytes`.
     """
     response: h11.Response | None = None
     body = bytearray()
-    informational_responses = 0
+    informational_count = 0
     while True:
         event = http.next_event()
         if event is h11.NEED_DATA:
@@ -73,10 +67,9 @@
         elif isinstance(event, h11.EndOfMessage) and response is not None:
             return response, bytes(body)
         elif (
-            isinstance(event, h11.InformationalResponse)
-            and informational_responses < MAX_INFORMATIONAL_RESPONSES
+            isinstance(event, h11.InformationalResponse) and informational_count < MAX_INFORMATIONAL_RESPONSES
         ):
-            informational_responses += 1
+            informational_count += 1
         else:
             raise TruncatedResponseError(
                 f"connection ended, or more than {MAX_INFORMATIONAL_RESPONSES} 1xx responses arrived, "
--- a/tests/edge/discovery_agents.py
+++ b/tests/edge/discovery_agents.py
@@ -21,6 +21,7 @@
 READ_SIZE_BYTES = 65536
 MAX_ACCEPTS_PER_TURN = 16
 SILENCE_SECONDS = 3600.0  # longer than any test
+WATCH_EXPIRY_MS = 200.0  # time for which discovery keeps a watch without a poll
 AGENT_ADDRESSES = [(f"a{index}", 1) for index in range(4)]
 FIRST_AGENT = DiscoveryOptions(AGENT_ADDRESSES[0], generation=1, seed=7)
 
