--- a/review/lib2/standins2.py
+++ b/review/lib2/standins2.py
@@ -576,3 +576,67 @@
         self.send_signal(signal.SIGKILL)
         if self.process is not None:
             await self.process.wait()
+
+
+class Tier:
+    """Three edge nodes that get leases of quota units from one planner, with app servers and discovery."""
+
+    SIZE = 3
+    SAFE_SHARE = 0.2  # part of each quota that the edge nodes use without a planner, as in deploy/example-planner.json
+
+    def __init__(self, plans: list[dict[str, Any]], folder: Path, record: Record) -> None:
+        self.plans = plans
+        self.folder = folder
+        self.record = record
+        self.servers = [AppServer(f"s{index}", record) for index in range(3)]
+        self.agents = [DiscoveryAgent(record) for _ in range(self.SIZE)]
+        self.nodes: list[EdgeNode] = []
+        self.planner: Planner | None = None
+
+    async def start(self) -> None:
+        """Starts all processes and stand-ins, and waits until the edge nodes are ready."""
+        *ports, planner_port = free_ports(self.SIZE + 1)
+        peer_ports = free_ports(self.SIZE, socket.SOCK_DGRAM)
+        names = [f"n{index}" for index in range(self.SIZE)]
+        planners = {"version": 1, "members": {"p0": f"{LOOPBACK}:{planner_port}"}, "share": self.SAFE_SHARE}
+        planner_fields = {
+            "name": "p0", "listen": f"{LOOPBACK}:{planner_port}", "planners": planners, "forwarders": names,
+            "lease_ms": 2000, "drift": 0.01, "packages": self.plans,
+        }  # fmt: skip
+        self.planner = Planner(planner_fields, self.folder, self.record)
+        await self.planner.start()
+        for server in self.servers:
+            await server.open()
+        for index, agent in enumerate(self.agents):
+            await agent.open()
+            agent.rows = {server.name: server.row() for server in self.servers}
+            fields = node_fields(index, ports, peer_ports, agent.port, agent.known(), packages=self.plans)
+            self.nodes.append(EdgeNode(fields | {"planners": planners}, self.folder, self.record))
+        await asyncio.gather(*(node.start() for node in self.nodes))
+
+    async def stop(self) -> None:
+        """Ends all processes and stand-ins."""
+        for process in [*self.nodes, *([self.planner] if self.planner else [])]:
+            await process.kill()
+        for server in [*self.servers, *self.agents]:
+            await server.close()
+
+
+class Quota:
+    """A customer's quota as the operators count it: a store that starts full and that each request draws on."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.tokens = burst
+        self.at = now()
+
+    def holds(self, units: float, at: float) -> bool:
+        """Returns whether the store holds these units at a time."""
+        self.tokens = min(self.burst, self.tokens + self.rate * max(0.0, at - self.at))
+        self.at = max(self.at, at)
+        return self.tokens >= units
+
+    def draw(self, units: float) -> None:
+        """Takes units from the store."""
+        self.tokens -= units
