--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,9 +29,10 @@
     def make() -> s2.Request:
         return s2.Request("tag-check", "basic", next(customers), 1, 2000)
 
+    clients = [s2.Client(port, record) for _ in range(4)]
     try:
         await node.start()
-        answers = await s2.ask_until([s2.Client(port, record) for _ in range(4)], s2.now() + 2.0, make, 0.02)
+        answers = await s2.ask_until(clients, s2.now() + 2.0, make, 0.02)
         # The node ends as at a planned restart, and comes back with the list that it held. Meanwhile one app
         # server has begun to drain, and the agent has been told.
         node.send_signal(s2.signal.SIGTERM)
@@ -50,8 +51,10 @@
             record.write(f"discovery is slow: {SLOW_SECONDS} s for each answer")
         node.fields["seed"] = s2.os.urandom(8).hex()
         await node.start()
-        answers += await s2.ask_until([s2.Client(port, record) for _ in range(4)], s2.now() + 4.0, make, 0.02)
+        answers += await s2.ask_until(clients, s2.now() + 4.0, make, 0.02)
     finally:
+        for client in clients:
+            client.close()
         await node.kill()
         for server in [*servers, agent]:
             await server.close()
@@ -63,7 +66,9 @@
     breaks = [each for each in drained.dispatches if each.first_byte_at > node.started_at + GRACE_SECONDS]
     for each in breaks:
         after_ms = (each.first_byte_at - node.started_at) * 1000
-        record.write(f"break: {each.trace_id} sent to the draining {each.server} {after_ms:.0f} ms after the start")
+        record.write(
+            f"break: {each.trace_id} sent to the draining {each.server} {after_ms:.0f} ms after the start"
+        )
     return s2.BROKEN if breaks else s2.HELD
 
 
--- a/review/lib2/standins2.py
+++ b/review/lib2/standins2.py
@@ -93,7 +93,11 @@
 
 def response(status: int, body: bytes = b"", *headers: str) -> bytes:
     """Returns the bytes of a response with a `Content-Length`."""
-    lines = [f"HTTP/1.1 {status} {'OK' if status == 200 else 'Status'}", f"Content-Length: {len(body)}", *headers]
+    lines = [
+        f"HTTP/1.1 {status} {'OK' if status == 200 else 'Status'}",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
@@ -149,7 +153,9 @@
 class AppServer(Server):
     """An app server: it answers each request with 200 and a page that only this request gets."""
 
-    def __init__(self, name: str, record: Record, latency_seconds: float = 0.02, cell: int = 0, zone: str = "a"):
+    def __init__(
+        self, name: str, record: Record, latency_seconds: float = 0.02, cell: int = 0, zone: str = "a"
+    ):
         super().__init__()
         self.name = name
         self.record = record
@@ -430,7 +436,9 @@
         return events
 
 
-def run_case(folder: Path, case: Callable[[Record, Path, bool], Awaitable[int]], limit_seconds: float = 110.0) -> int:
+def run_case(
+    folder: Path, case: Callable[[Record, Path, bool], Awaitable[int]], limit_seconds: float = 110.0
+) -> int:
     """Runs a case with a temporary folder and returns its exit code; nothing it started is left."""
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -451,7 +459,9 @@
     except (OSError, RuntimeError) as error:
         record.write("cannot run:", repr(error))
         result = CANNOT_RUN
-    record.write("result", {HELD: "the rule held", BROKEN: "the rule was broken", CANNOT_RUN: "not run"}[result])
+    record.write(
+        "result", {HELD: "the rule held", BROKEN: "the rule was broken", CANNOT_RUN: "not run"}[result]
+    )
     print({HELD: "held", BROKEN: "BROKEN", CANNOT_RUN: "cannot run"}[result], file=sys.stderr)
     return result
 
@@ -496,7 +506,12 @@
 
 
 def node_fields(
-    index: int, ports: list[int], peer_ports: list[int], discovery_port: int, known: dict[str, Any], **changes: Any
+    index: int,
+    ports: list[int],
+    peer_ports: list[int],
+    discovery_port: int,
+    known: dict[str, Any],
+    **changes: Any,
 ) -> dict[str, Any]:
     """Returns the configuration of one edge node of a tier that listens at `ports`."""
     peers = [f"{LOOPBACK}:{port}" for port in peer_ports]
@@ -513,7 +528,9 @@
     }
 
 
-async def ask_until(clients: list[Client], end_at: float, make: Callable[[], Request], pause_seconds: float) -> list[Answer]:
+async def ask_until(
+    clients: list[Client], end_at: float, make: Callable[[], Request], pause_seconds: float
+) -> list[Answer]:
     """Has each client send one request after another until `end_at`; returns all answers."""
     answers: list[Answer] = []
 
@@ -524,119 +541,3 @@
 
     await asyncio.gather(*(run(client) for client in clients))
     return answers
-
-
-# Planners
-
-
-class Planner:
-    """A planner as a process; its command is that of the deploy file with `plan FILE` for `serve`."""
-
-    def __init__(self, fields: dict[str, Any], folder: Path, record: Record) -> None:
-        self.fields = fields
-        self.name = fields["name"]
-        self.record = record
-        self.file = folder / f"{self.name}.json"
-        self.log = folder / f"{self.name}.log"
-        self.process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        """Starts the process, and waits until it listens."""
-        self.file.write_text(json.dumps(self.fields))
-        command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        command = command.replace(" serve", f" plan {self.file}")
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", command, cwd=ROOT, stdout=log, stderr=log
-            )
-        self.record.write("started", self.name, f"pid={self.process.pid}")
-        host, _, port = self.fields["listen"].rpartition(":")
-        deadline = now() + READY_TIMEOUT_SECONDS
-        while True:
-            try:
-                _, writer = await asyncio.open_connection(host, int(port))
-                writer.close()
-                break
-            except OSError:
-                if self.process.returncode is not None or now() > deadline:
-                    raise CannotRunError(f"{self.name} did not start: {self.log.read_text()[-500:]}") from None
-                await asyncio.sleep(0.02)
-        self.record.write("ready", self.name)
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the process, if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.record.write("signal", self.name, number.name)
-            with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(number)
-
-    async def kill(self) -> None:
-        """Kills the process and waits for its end."""
-        self.send_signal(signal.SIGCONT)
-        self.send_signal(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
-
-
-class Tier:
-    """Three edge nodes that get leases of quota units from one planner, with app servers and discovery."""
-
-    SIZE = 3
-    SAFE_SHARE = 0.2  # part of each quota that the edge nodes use without a planner, as in deploy/example-planner.json
-
-    def __init__(self, plans: list[dict[str, Any]], folder: Path, record: Record) -> None:
-        self.plans = plans
-        self.folder = folder
-        self.record = record
-        self.servers = [AppServer(f"s{index}", record) for index in range(3)]
-        self.agents = [DiscoveryAgent(record) for _ in range(self.SIZE)]
-        self.nodes: list[EdgeNode] = []
-        self.planner: Planner | None = None
-
-    async def start(self) -> None:
-        """Starts all processes and stand-ins, and waits until the edge nodes are ready."""
-        *ports, planner_port = free_ports(self.SIZE + 1)
-        peer_ports = free_ports(self.SIZE, socket.SOCK_DGRAM)
-        names = [f"n{index}" for index in range(self.SIZE)]
-        planners = {"version": 1, "members": {"p0": f"{LOOPBACK}:{planner_port}"}, "share": self.SAFE_SHARE}
-        planner_fields = {
-            "name": "p0", "listen": f"{LOOPBACK}:{planner_port}", "planners": planners, "forwarders": names,
-            "lease_ms": 2000, "drift": 0.01, "packages": self.plans,
-        }  # fmt: skip
-        self.planner = Planner(planner_fields, self.folder, self.record)
-        await self.planner.start()
-        for server in self.servers:
-            await server.open()
-        for index, agent in enumerate(self.agents):
-            await agent.open()
-            agent.rows = {server.name: server.row() for server in self.servers}
-            fields = node_fields(index, ports, peer_ports, agent.port, agent.known(), packages=self.plans)
-            self.nodes.append(EdgeNode(fields | {"planners": planners}, self.folder, self.record))
-        await asyncio.gather(*(node.start() for node in self.nodes))
-
-    async def stop(self) -> None:
-        """Ends all processes and stand-ins."""
-        for process in [*self.nodes, *([self.planner] if self.planner else [])]:
-            await process.kill()
-        for server in [*self.servers, *self.agents]:
-            await server.close()
-
-
-class Quota:
-    """A customer's quota as the operators count it: a store that starts full and that each request draws on."""
-
-    def __init__(self, rate: float, burst: float) -> None:
-        self.rate = rate
-        self.burst = burst
-        self.tokens = burst
-        self.at = now()
-
-    def holds(self, units: float, at: float) -> bool:
-        """Returns whether the store holds these units at a time."""
-        self.tokens = min(self.burst, self.tokens + self.rate * max(0.0, at - self.at))
-        self.at = max(self.at, at)
-        return self.tokens >= units
-
-    def draw(self, units: float) -> None:
-        """Takes units from the store."""
-        self.tokens -= units
