--- a/review/lib2/standins2.py
+++ b/review/lib2/standins2.py
@@ -214,7 +214,7 @@
         self.generation = 1
         self.rows: dict[str, dict[str, Any]] = {}
         self.changes: list[tuple[int, dict[str, Any]]] = []
-        self.poll_count = 0
+        self.holds_calls_for = 0.0  # seconds for which a call waits before it is looked at
         self.deliver: Callable[[asyncio.StreamWriter, bytes], Awaitable[None]] = self.deliver_at_once
         self._changed = asyncio.Event()
 
@@ -235,7 +235,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (message := await read_message(reader)) is not None:
-            self.poll_count += 1
+            await asyncio.sleep(self.holds_calls_for)
             target = message.first_line.split(" ")[1]
             query = dict(part.split("=", 1) for part in target.partition("?")[2].split("&") if "=" in part)
             body = json.dumps(await self._answer(query)).encode()
