--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,76 +1,148 @@
-"""Discovery is crowded and refuses each call; meanwhile an app server is taken from its list, and still answers."""
+"""Bad clients with bodies of 60 MB in small chunks; usual clients need their final answers all the same."""
+
+from __future__ import annotations
 
 import asyncio
-import itertools
+import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
+from time import monotonic
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib2"))
-
-import standins2 as s2  # noqa: E402
+sys.path.insert(0, str(FOLDER.parent / "lib3"))
 
-TOLD_AFTER_SECONDS = 6.0  # from the time at which discovery had the change
-GRACE_SECONDS = 0.25 + 0.05  # the settings' grace, and the protocol page's 50 ms
-TROUBLE_SECONDS = 8.0  # for as long as discovery is down on the page's `herd` day
+import standins3 as lib  # noqa: E402
 
+NODES, SERVERS = 3, 9
+USUAL_S = 16.0  # how long usual clients send
+USUAL_PER_S = 10.0  # requests a second at each edge node
+BAD_FROM_S, BAD_UNTIL_S = 3.0, 13.0
+BAD_PER_NODE = 100  # connections of bad clients at each edge node ("by hundreds")
+BODY_BYTES = 60_000_000
+CHUNK = b"1\r\nx\r\n"
+GRADES = [
+    {"name": "tag-check", "aim_us": 750_000, "deadline_us": 2_000_000, "effect": "retryable", "worth": 2.0},
+    {
+        "name": "toll-post", "aim_us": 1_200_000, "deadline_us": 5_000_000, "effect": "dedup", "group": "all",
+        "dedup_window_us": 3_000_000, "worth": 3.0, "late_value": 0.2,
+    },
+]  # fmt: skip
+PLANS = [{"name": "corridor", "refill": 16.0, "depth": 46.0}]
 
-async def case(record: s2.Record, folder: Path, has_trouble: bool) -> int:
-    servers = [s2.AppServer(f"s{index}", record) for index in range(3)]
-    agent = s2.DiscoveryAgent(record)
-    await agent.open()
-    for server in servers:
-        await server.open()
-        agent.rows[server.name] = server.row()
-    (port,) = s2.free_ports(1)
-    peer_ports = s2.free_ports(1, s2.socket.SOCK_DGRAM)
-    node = s2.EdgeNode(s2.node_fields(0, [port], peer_ports, agent.port, agent.known()), folder, record)
-    customers = itertools.cycle(range(1, 60))
 
-    def make() -> s2.Request:
-        return s2.Request("tag-check", "basic", next(customers), 1, 2000)
+async def bad_client(port: int, name: str, until: float) -> None:
+    """Sends a POST with a body of 60 MB in chunks, and the same again as soon as it is turned away."""
+    number = 0
+    block = CHUNK * 10_000
+    while monotonic() < until:
+        number += 1
+        head = (
+            f"POST /toll-post/1 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: {name}-{number}\r\nPlan: corridor\r\n"
+            "Cookie: key=00000000000000aa\r\nX-Expires-In: 5000m\r\nQuota-Info: units=1,spread=3,first=0\r\n"
+            f"Idempotency-Key: {name}-{number}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        started, outcome, writer = monotonic(), "none", None
+        try:
+            async with asyncio.timeout(until - monotonic()):
+                reader, writer = await asyncio.open_connection(lib.HOST, port)
+                writer.write(head.encode())
+                sending = asyncio.create_task(send_body(writer, block))
+                try:
+                    answer = await reader.read(4096)
+                finally:
+                    sending.cancel()
+            outcome = answer.split(b"\r\n")[0].decode("latin-1") or "closed"
+        except (OSError, TimeoutError) as error:
+            outcome = f"no answer ({type(error).__name__})"
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+        print(f"{name}-{number} {outcome} after={1000 * (monotonic() - started):.0f}ms", flush=True)
 
-    async def refuse(writer: asyncio.StreamWriter, _body: bytes) -> None:
-        writer.write(s2.response(503))
-        await writer.drain()
 
-    clients = [s2.Client(port, record) for _ in range(4)]
+async def send_body(writer: asyncio.StreamWriter, block: bytes) -> None:
+    """Writes the body at full speed."""
     try:
-        await node.start()
-        answers = await s2.ask_until(clients, s2.now() + 2.0, make, 0.02)
-        if has_trouble:
-            agent.deliver = refuse
-            record.write("discovery is crowded: it refuses each call")
-        drained = servers[0]
-        drained.lifecycle = "removed"
-        drained.answers_while_leaving = True
-        agent.update(drained.row())
-        changed_at = s2.now()
-        told_at = changed_at + TOLD_AFTER_SECONDS
-        answers += await s2.ask_until(clients, changed_at + TROUBLE_SECONDS, make, 0.02)
-        agent.deliver = agent.deliver_at_once
-        record.write("discovery answers at once again")
-        answers += await s2.ask_until(clients, s2.now() + 2.0, make, 0.02)
-    finally:
+        for _ in range(BODY_BYTES // 10_000):
+            writer.write(block)
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+    except OSError:
+        pass
+
+
+async def bad_clients(ports: list[int]) -> None:
+    """Runs all bad clients (a process of its own)."""
+    until = monotonic() + BAD_UNTIL_S - BAD_FROM_S
+    await asyncio.gather(
+        *(bad_client(port, f"bad{index}-{number}", until) for number in range(BAD_PER_NODE) for index, port in enumerate(ports))
+    )
+
+
+class BadClients:
+    """The process of the bad clients."""
+
+    def __init__(self, nodes: list[lib.EdgeNode], folder: Path) -> None:
+        self.output = folder / "bad.txt"
+        with self.output.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", __file__, *(str(node.port) for node in nodes)], stdout=output
+            )
+
+    def end(self) -> None:
+        """Kills the process, if it runs."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+async def work(folder: Path, processes: list[object]) -> int:
+    """Plays the case; returns 1 if the rule was broken."""
+    servers = [lib.AppServer(f"s-{index}", f"hall-{'abc'[index % 3]}", RECORD, 0.1) for index in range(SERVERS)]
+    discovery = lib.DiscoveryAgent(servers)
+    for listener in (*servers, discovery):
+        await listener.start()
+    configs = lib.node_configs(NODES, servers, discovery, PLANS, GRADES)
+    nodes = [lib.EdgeNode(folder, config) for config in configs]
+    processes += nodes
+    for node in nodes:
+        await node.wait_until_ready()
+    lag = lib.OwnLag()
+    clients = [lib.Clients(node, RECORD) for node in nodes]
+    started = monotonic()
+    bad: BadClients | None = None
+    sent: list[asyncio.Task[str]] = []
+    while monotonic() - started < USUAL_S:
+        if bad is None and lib.trouble_is_on() and monotonic() - started >= BAD_FROM_S:
+            bad = BadClients(nodes, folder)
+            processes.append(bad)
+            RECORD.say(f"{BAD_PER_NODE} bad clients at each edge node begin")
         for client in clients:
-            client.close()
-        await node.kill()
-        for server in [*servers, agent]:
-            await server.close()
-    served = sum(answer.status == 200 for answer in answers)
-    record.write(f"answers: {len(answers)}, of them 200: {served}")
-    if not served:
-        raise s2.CannotRunError("nothing was served")
-    breaks = [each for each in drained.dispatches if each.first_byte_at > told_at + GRACE_SECONDS]
-    for each in breaks:
-        after = each.first_byte_at - told_at + TOLD_AFTER_SECONDS
-        record.write(
-            f"break: {each.trace_id} sent to {each.server} {after:.2f} s after discovery had the change"
-        )
-    for event in node.log_events():
-        record.write("log", event)
-    return s2.BROKEN if breaks else s2.HELD
+            number, is_toll = len(sent), len(sent) % 2 == 1
+            request = client.send(
+                f"usual-{number}", "toll-post" if is_toll else "tag-check", "corridor", 0x1000 + number % 200,
+                5000 if is_toll else 2000, (1, NODES, 0), f"passage-{number}" if is_toll else "",
+            )  # fmt: skip
+            sent.append(asyncio.create_task(request))
+            await asyncio.sleep(1.0 / USUAL_PER_S / NODES)
+    outcomes = Counter(await asyncio.gather(*sent))
+    lag.check()
+    for client in clients:
+        client.close()
+    if bad is not None:
+        for line in bad.output.read_text().splitlines():
+            RECORD("bad client", line)
+    ended = [node.name for node in nodes if node.process.poll() is not None]
+    RECORD.say("usual requests:", dict(outcomes), "edge nodes that ended:", ended)
+    if outcomes["not taken"]:
+        raise lib.CouldNotRunError("some requests were not taken")
+    return lib.BROKEN if outcomes["lost"] or ended else lib.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(s2.run_case(FOLDER, case))
+    if len(sys.argv) > 1:
+        asyncio.run(bad_clients([int(port) for port in sys.argv[1:]]))
+    else:
+        RECORD = lib.Record(FOLDER)
+        sys.exit(lib.run_case(work, RECORD))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A node is restarted while discovery is slow; its app server began to drain before the restart."""
+"""Discovery is crowded and refuses each call; meanwhile an app server is taken from its list, and still answers."""
 
 import asyncio
 import itertools
@@ -10,8 +10,9 @@
 
 import standins2 as s2  # noqa: E402
 
+TOLD_AFTER_SECONDS = 6.0  # from the time at which discovery had the change
 GRACE_SECONDS = 0.25 + 0.05  # the settings' grace, and the protocol page's 50 ms
-SLOW_SECONDS = 1.5  # from a call to discovery's answer, while discovery is slow
+TROUBLE_SECONDS = 8.0  # for as long as discovery is down on the page's `herd` day
 
 
 async def case(record: s2.Record, folder: Path, has_trouble: bool) -> int:
@@ -29,29 +30,27 @@
     def make() -> s2.Request:
         return s2.Request("tag-check", "basic", next(customers), 1, 2000)
 
+    async def refuse(writer: asyncio.StreamWriter, _body: bytes) -> None:
+        writer.write(s2.response(503))
+        await writer.drain()
+
     clients = [s2.Client(port, record) for _ in range(4)]
     try:
         await node.start()
         answers = await s2.ask_until(clients, s2.now() + 2.0, make, 0.02)
-        # The node ends as at a planned restart, and comes back with the list that it held. Meanwhile one app
-        # server has begun to drain, and the agent has been told.
-        node.send_signal(s2.signal.SIGTERM)
-        await node.process.wait()
+        if has_trouble:
+            agent.deliver = refuse
+            record.write("discovery is crowded: it refuses each call")
         drained = servers[0]
-        drained.lifecycle = "draining"
+        drained.lifecycle = "removed"
+        drained.answers_while_leaving = True
         agent.update(drained.row())
-        await asyncio.sleep(1.0)
-        if has_trouble:
-
-            async def deliver_slowly(writer: asyncio.StreamWriter, body: bytes) -> None:
-                await asyncio.sleep(SLOW_SECONDS)
-                await agent.deliver_at_once(writer, body)
-
-            agent.deliver = deliver_slowly
-            record.write(f"discovery is slow: {SLOW_SECONDS} s for each answer")
-        node.fields["seed"] = s2.os.urandom(8).hex()
-        await node.start()
-        answers += await s2.ask_until(clients, s2.now() + 4.0, make, 0.02)
+        changed_at = s2.now()
+        told_at = changed_at + TOLD_AFTER_SECONDS
+        answers += await s2.ask_until(clients, changed_at + TROUBLE_SECONDS, make, 0.02)
+        agent.deliver = agent.deliver_at_once
+        record.write("discovery answers at once again")
+        answers += await s2.ask_until(clients, s2.now() + 2.0, make, 0.02)
     finally:
         for client in clients:
             client.close()
@@ -62,13 +61,14 @@
     record.write(f"answers: {len(answers)}, of them 200: {served}")
     if not served:
         raise s2.CannotRunError("nothing was served")
-    # What the agent holds counts as told from the first moment of the new process.
-    breaks = [each for each in drained.dispatches if each.first_byte_at > node.started_at + GRACE_SECONDS]
+    breaks = [each for each in drained.dispatches if each.first_byte_at > told_at + GRACE_SECONDS]
     for each in breaks:
-        after_ms = (each.first_byte_at - node.started_at) * 1000
+        after = each.first_byte_at - told_at + TOLD_AFTER_SECONDS
         record.write(
-            f"break: {each.trace_id} sent to the draining {each.server} {after_ms:.0f} ms after the start"
+            f"break: {each.trace_id} sent to {each.server} {after:.2f} s after discovery had the change"
         )
+    for event in node.log_events():
+        record.write("log", event)
     return s2.BROKEN if breaks else s2.HELD
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Discovery ends each call after 1 s instead of telling; meanwhile an app server begins to drain."""
+"""A node is restarted while discovery is slow; its app server began to drain before the restart."""
 
 import asyncio
 import itertools
@@ -10,10 +10,8 @@
 
 import standins2 as s2  # noqa: E402
 
-TOLD_AFTER_SECONDS = 6.0  # from the time at which discovery had the change
 GRACE_SECONDS = 0.25 + 0.05  # the settings' grace, and the protocol page's 50 ms
-TROUBLE_SECONDS = 8.0  # for as long as discovery is down on the page's `herd` day
-ENDS_AFTER_SECONDS = 1.0  # from a call to the end of its connection, without a byte of an answer
+SLOW_SECONDS = 1.5  # from a call to discovery's answer, while discovery is slow
 
 
 async def case(record: s2.Record, folder: Path, has_trouble: bool) -> int:
@@ -31,27 +29,29 @@
     def make() -> s2.Request:
         return s2.Request("tag-check", "basic", next(customers), 1, 2000)
 
-    async def end_instead_of_telling(writer: asyncio.StreamWriter, _body: bytes) -> None:
-        writer.close()
-
     clients = [s2.Client(port, record) for _ in range(4)]
     try:
         await node.start()
         answers = await s2.ask_until(clients, s2.now() + 2.0, make, 0.02)
-        if has_trouble:
-            agent.deliver = end_instead_of_telling
-            agent.holds_calls_for = ENDS_AFTER_SECONDS
-            record.write(f"discovery ends each call after {ENDS_AFTER_SECONDS} s instead of telling")
+        # The node ends as at a planned restart, and comes back with the list that it held. Meanwhile one app
+        # server has begun to drain, and the agent has been told.
+        node.send_signal(s2.signal.SIGTERM)
+        await node.process.wait()
         drained = servers[0]
         drained.lifecycle = "draining"
         agent.update(drained.row())
-        changed_at = s2.now()
-        told_at = changed_at + TOLD_AFTER_SECONDS
-        answers += await s2.ask_until(clients, changed_at + TROUBLE_SECONDS, make, 0.02)
-        agent.deliver = agent.deliver_at_once
-        agent.holds_calls_for = 0.0
-        record.write("discovery answers at once again")
-        answers += await s2.ask_until(clients, s2.now() + 2.0, make, 0.02)
+        await asyncio.sleep(1.0)
+        if has_trouble:
+
+            async def deliver_slowly(writer: asyncio.StreamWriter, body: bytes) -> None:
+                await asyncio.sleep(SLOW_SECONDS)
+                await agent.deliver_at_once(writer, body)
+
+            agent.deliver = deliver_slowly
+            record.write(f"discovery is slow: {SLOW_SECONDS} s for each answer")
+        node.fields["seed"] = s2.os.urandom(8).hex()
+        await node.start()
+        answers += await s2.ask_until(clients, s2.now() + 4.0, make, 0.02)
     finally:
         for client in clients:
             client.close()
@@ -62,14 +62,13 @@
     record.write(f"answers: {len(answers)}, of them 200: {served}")
     if not served:
         raise s2.CannotRunError("nothing was served")
-    breaks = [each for each in drained.dispatches if each.first_byte_at > told_at + GRACE_SECONDS]
+    # What the agent holds counts as told from the first moment of the new process.
+    breaks = [each for each in drained.dispatches if each.first_byte_at > node.started_at + GRACE_SECONDS]
     for each in breaks:
-        after = each.first_byte_at - told_at + TOLD_AFTER_SECONDS
+        after_ms = (each.first_byte_at - node.started_at) * 1000
         record.write(
-            f"break: {each.trace_id} sent to {each.server} {after:.2f} s after discovery had the drain"
+            f"break: {each.trace_id} sent to the draining {each.server} {after_ms:.0f} ms after the start"
         )
-    for event in node.log_events():
-        record.write("log", event)
     return s2.BROKEN if breaks else s2.HELD
 
 
