End every connection with the event loop of its run, so that none is left to the collector

Cause: on CPython 3.11.6 StreamWriter.__del__ closes a stream that outlives its event loop, which raises. pytest parses source code to report that, and if the collector had interrupted ast.parse, whatever test was parsing fails (SystemError: AST constructor recursion depth mismatch).

--- a/onyxpost/simulation/virtual_time/connection.py
+++ b/onyxpost/simulation/virtual_time/connection.py
@@ -149,9 +149,13 @@
 
     def kill(self) -> None:
         """Kills the process of this end: its program is not notified, and the other end is reset."""
+        self.discard()
+        self.connection.reset_peer_of(self)
+
+    def discard(self) -> None:
+        """Ends this end only; neither its program nor the other end is notified."""
         self.is_closed = True
         self.is_lost = True
-        self.connection.reset_peer_of(self)
 
     def add_undeliverable_bytes(self, count: int) -> None:
         """Counts bytes that were sent while the other end could not be reached."""
--- a/onyxpost/simulation/virtual_time/loop.py
+++ b/onyxpost/simulation/virtual_time/loop.py
@@ -9,7 +9,7 @@
 from onyxpost.simulation.errors import SimulationStalledError
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Callable
 
     from _typeshed import FileDescriptorLike
 
@@ -70,11 +70,24 @@
         self._clock_selector = VirtualClockSelector()
         super().__init__(self._clock_selector)
         self._clock_resolution = CLOCK_RESOLUTION_SECONDS
+        self._end_callbacks: list[Callable[[], None]] = []
 
     def time(self) -> float:
         """Returns the virtual time in seconds."""
         return self._clock_selector.now_seconds
 
+    def call_at_end(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` when the loop is closed, before it stops accepting calls."""
+        self._end_callbacks.append(callback)
+
+    def close(self) -> None:
+        """Calls the callbacks of `call_at_end`, then closes the loop."""
+        end_callbacks = self._end_callbacks
+        self._end_callbacks = []
+        for callback in end_callbacks:
+            callback()
+        super().close()
+
 
 def run(main: Awaitable[Result]) -> Result:
     """Runs a coroutine on a new `VirtualTimeLoop`, as `asyncio.run` does, and returns its result.
--- a/onyxpost/simulation/virtual_time/network.py
+++ b/onyxpost/simulation/virtual_time/network.py
@@ -10,6 +10,7 @@
 from onyxpost.simulation.virtual_time.connection import Connection
 from onyxpost.simulation.virtual_time.host import VirtualHost
 from onyxpost.simulation.virtual_time.listener import VirtualListener
+from onyxpost.simulation.virtual_time.loop import VirtualTimeLoop
 
 if TYPE_CHECKING:
     from random import Random
@@ -49,6 +50,16 @@
         self.datagram_loss = 0.0  # the fraction of datagrams that are lost
         self.connect_delays: dict[str, float] = {}  # extra seconds until a connection opens, by target host
         self.planned_breaks: dict[str, list[PlannedBreak]] = defaultdict(list)  # by target host, in order
+        if isinstance(self.loop, VirtualTimeLoop):
+            self.loop.call_at_end(self.close)
+
+    def close(self) -> None:
+        """Ends all connections at the end of a run, so that no stream uses the closed event loop."""
+        for connections in self.connections.values():
+            for connection in connections:
+                connection.is_broken = True
+                for end in connection.ends:
+                    end.discard()
 
     def is_blocked(self, source: str, target: str) -> bool:
         """Whether all that `source` sends to `target` is lost."""
