--- a/tests/test_closing_event_loop.py
+++ b/tests/test_closing_event_loop.py
@@ -6,7 +6,7 @@
 
 
 def test_connections_that_a_test_leaves_open_end_with_its_event_loop() -> None:
-    # Guards against streams that the garbage collector closes in a later test, with an error on CPython 3.11.6
+    # Guards against streams that the garbage collector closes in a later test, an error on CPython 3.11.6
     async def main() -> list[asyncio.StreamWriter]:
         accepted: list[asyncio.StreamWriter] = []
         server = await asyncio.start_server(lambda _, writer: accepted.append(writer), "127.0.0.1", 0)
