--- a/onyxpost/core/customer_quota.py
+++ b/onyxpost/core/customer_quota.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from onyxpost.core.customer_key import customer_hash
 from onyxpost.core.token_bucket import TokenBucket
 from onyxpost.core.types import Plan
 from onyxpost.core.usage_reports import NO_NODE, PeerUsageReport, Placement
@@ -43,7 +44,8 @@
     """The state of one customer's quota at this node.
 
     Attributes:
-        key: CRC-32 of the customer's key, by which nodes identify the customer to each other.
+        key: the customer's key, by which nodes identify the customer to each other.
+        hash: CRC-32 of the customer's name, for preference orders, coordinators and routing rules.
         last_seen_at: when a request or report of the customer was last received, in ms.
         plan: the customer's plan; `UNKNOWN_PLAN` until it is known.
         quota: the token bucket of the plan's quota, in units.
@@ -63,6 +65,7 @@
 
     def __init__(self, key: int, created_at: float) -> None:
         self.key = key
+        self.hash = customer_hash(key)
         self.last_seen_at = created_at
         self.plan = UNKNOWN_PLAN
         self.quota = TokenBucket(created_at)
--- a/onyxpost/core/customer_table.py
+++ b/onyxpost/core/customer_table.py
@@ -6,7 +6,7 @@
 
 
 class CustomerTable:
-    """Customers' quotas, by CRC-32 of the customer's key.
+    """Customers' quotas, by the customer's key.
 
     Attributes:
         started_at: start of this node, in ms; a new customer's buckets get the tokens for the time since
--- a/onyxpost/core/events.py
+++ b/onyxpost/core/events.py
@@ -36,7 +36,7 @@
         request_id: the host's id of the request, unique among pending requests.
         deadline: the time by which the answer has to be sent, in ms.
         frontend: name of the frontend that the request addresses.
-        customer: the customer's key, as text.
+        customer: the customer's key (`customer_key`).
         plan: name of the customer's plan.
         units: units that the request takes from the customer's quota.
         set_size: number of nodes that serve this customer.
@@ -46,7 +46,7 @@
     request_id: str
     deadline: float
     frontend: str
-    customer: str
+    customer: int
     plan: str
     units: int
     set_size: int
@@ -88,7 +88,7 @@
 class LeaseGranted(NamedTuple):
     """A planner lets this node spend `units` of a customer's quota until `expires_at` (ms).
 
-    `customer` is the CRC-32 of the customer's key.
+    `customer` is the customer's key.
     """
 
     customer: int
--- a/onyxpost/core/sink.py
+++ b/onyxpost/core/sink.py
@@ -48,7 +48,7 @@
         """Reports to the planners the units that a request took from a lease.
 
         Lease 0 stands for this node's own share. The units of a request that is rejected over a limit are
-        reported with lease 0, too, as demand. `customer` is the CRC-32 of the customer's key.
+        reported with lease 0, too, as demand. `customer` is the customer's key.
         """
 
     def return_lease(self, lease: int, units: int) -> None:
--- a/onyxpost/core/types.py
+++ b/onyxpost/core/types.py
@@ -226,4 +226,4 @@
     """The routing rules in force. A request keeps the constraint that it got at admission."""
 
     def constraint_for(self, frontend: str, plan: str, customer: int) -> RoutingConstraint:
-        """Returns the constraint on a request; `customer` is the CRC-32 of its customer's key."""
+        """Returns the constraint on a request; `customer` is the CRC-32 of its customer's name."""
--- a/onyxpost/core/usage_reports.py
+++ b/onyxpost/core/usage_reports.py
@@ -23,16 +23,16 @@
         """Returns the nodes of the set other than `node_index`."""
         return [node for node in self.members(node_count) if node != node_index]
 
-    def member_for_key(self, key: int, node_count: int) -> int:
-        """Returns the node of the set that a hash key selects, such as a customer's coordinator."""
-        return (self.first_node_index + key % self.set_size) % node_count
+    def member_for_hash(self, value: int, node_count: int) -> int:
+        """Returns the node of the set that a hash selects, such as a customer's coordinator."""
+        return (self.first_node_index + value % self.set_size) % node_count
 
 
 class PeerUsageReport(NamedTuple):
     """One node's usage of one customer's quota.
 
     Attributes:
-        customer: CRC-32 of the customer's key.
+        customer: the customer's key.
         units_used: units used by the sender's incarnation since its start.
         in_flight: the sender's attempts in flight.
         new_units: the part of `units_used` that is new since the sender's last round of reports.
@@ -52,7 +52,7 @@
     """The quota coordinator's count of one customer's usage at all nodes.
 
     Attributes:
-        customer: CRC-32 of the customer's key.
+        customer: the customer's key.
         missing_tokens: tokens that are missing from a full bucket.
         in_flight: attempts in flight at all nodes except the receiver.
     """
--- a/onyxpost/edge/state_machine.py
+++ b/onyxpost/edge/state_machine.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from onyxpost.core.customer_key import key_of_number
 from onyxpost.core.events import (
     AttemptFinished,
     EndpointPollFailed,
@@ -154,7 +155,7 @@
             request.request_id,
             deadline,
             client_request.frontend,
-            client_request.customer,
+            key_of_number(int(client_request.customer, 16)),
             client_request.plan,
             client_request.units,
             client_request.set_size,
--- a/onyxpost/policy/admission.py
+++ b/onyxpost/policy/admission.py
@@ -1,7 +1,5 @@
 """Admits requests by their customers' quotas: at once, or after a wait for hard-limit tokens."""
 
-from zlib import crc32
-
 from onyxpost.core.customer_quota import CustomerQuota
 from onyxpost.core.events import RequestArrived, TimerFired
 from onyxpost.core.node_state import NodeState
@@ -50,7 +48,7 @@
             self._router.route(now, request, sink)
 
     def _new_request(self, now: float, event: RequestArrived) -> Request:
-        customer = self._state.customers.get(crc32(event.customer.encode()))
+        customer = self._state.customers.get(event.customer)
         self._quotas.assign_plan(customer, now, self._state.options.placement(event))
         frontend = self._frontends[event.frontend]
         return Request(event.request_id, now, event.deadline, frontend, customer, event.units)
--- a/onyxpost/policy/preference_order.py
+++ b/onyxpost/policy/preference_order.py
@@ -38,8 +38,11 @@
         """Returns the ready servers in the customer's order of preference."""
         order = self._orders.get(customer)
         if not order:
-            key = customer.key ^ (self._node_salt if customer.has_coordinator else 0)
+            salted_hash = customer.hash ^ (self._node_salt if customer.has_coordinator else 0)
             multiplier = self.HASH_MULTIPLIER
-            order = sorted(self._servers.ready, key=lambda each: (each.hash ^ key) * multiplier % HASH_RANGE)
+            order = sorted(
+                self._servers.ready,
+                key=lambda each: (each.hash ^ salted_hash) * multiplier % HASH_RANGE,
+            )
             self._orders[customer] = order
         return order
--- a/onyxpost/policy/quotas.py
+++ b/onyxpost/policy/quotas.py
@@ -56,7 +56,7 @@
         # A plan with a hard limit has no coordinator: spare hard-limit tokens are transferred in the reports
         # that nodes send to each of their peers, and with a coordinator nodes report to it only.
         if len(customer.peers) > self.MAX_GOSSIP_PEERS and not plan.hard_limit_rate:
-            customer.coordinator = placement.member_for_key(customer.key, node_count)
+            customer.coordinator = placement.member_for_hash(customer.hash, node_count)
         customer.placement = placement
         customer.set_plan(plan, 1.0, share, self.MAX_DEBT_MS)
         # A new bucket starts with this node's share of the burst. In a large set, where a share may be less
--- a/onyxpost/policy/routing_constraints.py
+++ b/onyxpost/policy/routing_constraints.py
@@ -29,4 +29,4 @@
         if rules is None:
             return UNRESTRICTED
         customer = request.customer
-        return rules.constraint_for(request.frontend.name, customer.plan.name, customer.key)
+        return rules.constraint_for(request.frontend.name, customer.plan.name, customer.hash)
--- a/onyxpost/rollout/routing_rules/compiled_rules.py
+++ b/onyxpost/rollout/routing_rules/compiled_rules.py
@@ -94,7 +94,7 @@
         Args:
             frontend: the request's frontend.
             plan: the customer's plan.
-            customer: the CRC-32 of the customer's key.
+            customer: the CRC-32 of the customer's name.
         """
         for rule in self.rules_for(frontend, plan):
             if rule.matches(customer):
--- a/onyxpost/simulation/discrete_event/node_model.py
+++ b/onyxpost/simulation/discrete_event/node_model.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.events import (
     AttemptFinished,
     EndpointsUpdated,
@@ -145,7 +146,7 @@
             request_id,
             START_UNIX_MS + pending.deadline_ms,
             request.frontend.name,
-            customer.key,
+            key_of_name(customer.key),
             customer.plan.name,
             request.units,
             customer.node_count,
--- a/onyxpost/simulation/slow_start/node_model.py
+++ b/onyxpost/simulation/slow_start/node_model.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.events import AttemptFinished, EndpointsUpdated, Event, RequestArrived, TimerFired
 from onyxpost.core.options import GatewayOptions
 from onyxpost.core.types import (
@@ -97,7 +98,7 @@
     def receive_request(self) -> None:
         """Passes a request of a random customer to the gateway."""
         self._request_count += 1
-        customer = f"c{self.environment.rng.randrange(CUSTOMERS)}"
+        customer = key_of_name(f"c{self.environment.rng.randrange(CUSTOMERS)}")
         deadline_ms = self.environment.unix_time_ms() + CLIENT_TIMEOUT_MS
         node_count = self.environment.case.nodes
         request_id = f"{self._request_count}"
--- a/onyxpost/simulator_host/decode.py
+++ b/onyxpost/simulator_host/decode.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from onyxpost.config import deployment
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.events import (
     AttemptFinished,
     EndpointPollFailed,
@@ -111,7 +112,7 @@
         request_id=fields["ref"],
         deadline=to_millis(fields["give_up_at_us"]),
         frontend=fields["cls"],
-        customer=fields.get("user_key", ""),
+        customer=key_of_name(fields.get("user_key", "")),
         plan=fields.get("tariff", ""),
         units=fields.get("cost_units", 1),
         set_size=fields.get("spread", 1),
--- a/tests/planner/forwarder_model.py
+++ b/tests/planner/forwarder_model.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Protocol
 
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.events import (
     AttemptFinished,
     EndpointsUpdated,
@@ -124,7 +125,9 @@
         request_id = f"{self.incarnation}.{self.request_count}"
         node_count = len(self.cluster.forwarders)
         deadline = self.clock() + 5000.0
-        self.handle(RequestArrived(request_id, deadline, "f", customer, "p", units, node_count, 0))
+        self.handle(
+            RequestArrived(request_id, deadline, "f", key_of_name(customer), "p", units, node_count, 0)
+        )
         if self.final_answer == "sent":
             self.cluster.count_sent(self, customer, units)
             self.handle(AttemptFinished(request_id, 0, AttemptResult.OK, 1.0, True, 0))
--- a/tests/planner/test_cluster_faults.py
+++ b/tests/planner/test_cluster_faults.py
@@ -7,10 +7,10 @@
 from random import Random
 from typing import TYPE_CHECKING
 from unittest import mock
-from zlib import crc32
 
 import pytest
 
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.types import Plan
 from onyxpost.planner.lease_ledger import LeaseLedger
 from tests.planner.forwarder_model import SAFE_SHARE
@@ -111,7 +111,7 @@
     def open_with_full_buckets(ledger: LeaseLedger, now_ms: float, extra_ms: float = 0.0) -> None:
         ledger.granting_starts_at_ms = now_ms
         plan = ledger.plans["p"]
-        for customer in list(ledger.accounts) or [crc32(b"c")]:
+        for customer in list(ledger.accounts) or [key_of_name("c")]:
             account = ledger.get_or_create_account(now_ms, customer, plan)
             for bucket in account.buckets:
                 bucket.refilled_at_ms = now_ms
--- a/tests/policy/gateway_host.py
+++ b/tests/policy/gateway_host.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, fields
 from typing import Any
 
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.events import AttemptFinished, EndpointsUpdated, Event, RequestArrived, TimerFired
 from onyxpost.core.options import GatewayOptions
 from onyxpost.core.types import (
@@ -129,7 +130,9 @@
         self._request_count += 1
         request_id = f"r{self._request_count}"
         deadline = self.now + client_timeout_ms
-        return self.handle(RequestArrived(request_id, deadline, "f", customer, "p", units, set_size, 0))
+        return self.handle(
+            RequestArrived(request_id, deadline, "f", key_of_name(customer), "p", units, set_size, 0)
+        )
 
     def end(
         self,
--- a/tests/policy/test_gossip_messages.py
+++ b/tests/policy/test_gossip_messages.py
@@ -4,6 +4,7 @@
 
 from zlib import crc32
 
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.events import PeerMessageReceived
 from onyxpost.core.types import AttemptResult, Plan
 from tests.policy.gateway_host import Host, kinds
@@ -29,7 +30,7 @@
 
 def test_a_peer_that_has_forgotten_a_customer_gives_no_units_back() -> None:
     host = Host()
-    crc = f"{crc32(b'c'):x}"
+    crc = f"{key_of_name('c'):x}"
     host.handle(PeerMessageReceived(1, f"a {crc}:64:0:64:0:0:0:3"))
     (customer,) = host.gateway.state.customers.by_key.values()
     tokens = customer.quota.tokens
@@ -73,7 +74,7 @@
     host.arrive(set_size=12)
     admitted = []
     for missing_tokens in (100, 300):  # the burst is 400
-        host.handle(PeerMessageReceived(crc32(b"c") % 12, f"1 {crc32(b'c'):x}:{missing_tokens:x}:0"))
+        host.handle(PeerMessageReceived(crc32(b"c") % 12, f"1 {key_of_name('c'):x}:{missing_tokens:x}:0"))
         admitted.append(0)
         for _ in range(8):
             ((decision, request_id, *_),) = host.arrive(set_size=12)
--- a/tests/policy/test_hard_limit.py
+++ b/tests/policy/test_hard_limit.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from zlib import crc32
-
+from onyxpost.core.customer_name import key_of_name
 from onyxpost.core.events import RequestCancelled
 from onyxpost.core.types import Plan
 from tests.policy.gateway_host import Host, kinds
@@ -31,7 +30,7 @@
     host.arrive(1)
     host.arrive(1)
     assert kinds(host.handle(RequestCancelled("r1"))) == []
-    host.gateway.state.customers.by_key[crc32(b"c")].quota.tokens = -500.0  # spent at other nodes
+    host.gateway.state.customers.by_key[key_of_name("c")].quota.tokens = -500.0  # spent at other nodes
     assert [d[:2] for d in host.run(900.0) if d[0] != "message"] == [("reject", "r2")]
     assert (host.gateway.state.requests, len(host.gateway.quota_control.queue)) == ({}, 0)
 
@@ -39,6 +38,6 @@
 def test_a_request_that_waits_in_vain_is_rejected_soon_after_half_of_its_time() -> None:
     host = Host(plan=Plan("p", 100.0, 300.0, 0, 1.0, 9.0, 90.0))
     host.arrive(1, client_timeout_ms=900.0)
-    host.gateway.state.customers.by_key[crc32(b"c")].hard_limit.tokens = -50.0  # transferred to a peer
+    host.gateway.state.customers.by_key[key_of_name("c")].hard_limit.tokens = -50.0  # transferred to a peer
     assert kinds(host.run(425.0)) == []
     assert kinds(host.run(100.0)) == ["reject"]
