--- a/onyxpost/edge/client_connection.py
+++ b/onyxpost/edge/client_connection.py
@@ -47,6 +47,9 @@
         request: the head of the current request.
         client_request: the decoded head of the current request; None for a health check.
         body: the received part of the body of the current request.
+        body_chunk_count: number of chunks of the body that were received.
+        head_line_count: number of line ends received while the head of the current request was incomplete.
+        has_undecoded_input: whether input that was read is not decoded yet.
     """
 
     def __init__(
@@ -75,6 +78,9 @@
         self.request: h11.Request | None = None
         self.client_request: ClientRequest | None = None
         self.body = bytearray()
+        self.body_chunk_count = 0
+        self.head_line_count = 0
+        self.has_undecoded_input = False
 
     def is_idle(self) -> bool:
         """Returns whether the connection is between two requests."""
@@ -109,6 +115,8 @@
         """Records the head of a request and discards the state of the previous one."""
         self.request = request
         self.body = bytearray()
+        self.body_chunk_count = 0
+        self.head_line_count = 0
         self.has_partial_request = True
         self.client_request = None
 
--- a/onyxpost/edge/client_http.py
+++ b/onyxpost/edge/client_http.py
@@ -26,12 +26,17 @@
 
 # A client that has more bytes of answers unread than this is disconnected at its next request.
 MAX_UNSENT_BYTES = 131_072
+# Events decoded for one connection before others get their turn; a usual request has two or three.
+MAX_EVENTS_PER_SLICE = 32
+MAX_BODY_CHUNKS = 1024  # a body of the largest size may have chunks of 64 bytes
+MAX_HEAD_LINES = 100
 MAX_ERROR_TEXT_BYTES = 200  # limits the body of a 4xx answer, which may quote the request
 HEALTH_CHECK_TARGET = b"/healthz"
 HEALTH_CHECK_METHODS = (b"GET", b"HEAD")
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 PAYLOAD_TOO_LARGE = 413
+HEAD_TOO_LARGE = 431
 SERVICE_UNAVAILABLE = 503
 OK = 200
 
@@ -81,9 +86,16 @@
                 self._begin_closing(connection)
                 return
             connection.on_request_started(self._clock())
+        if _has_too_many_head_lines(connection, data):
+            self._reject(connection, HEAD_TOO_LARGE, f"over {MAX_HEAD_LINES} lines in the head", close=True)
+            return
         connection.http.receive_data(data)
         self._decode(connection)
 
+    def decode_slice(self, connection: ClientConnection) -> None:
+        """Continues to decode an open connection that has undecoded input."""
+        self._decode(connection)
+
     def handle_end_of_stream(self, connection: ClientConnection) -> None:
         """Processes the end of a client's stream; a request that it truncates is rejected."""
         connection.http.receive_data(b"")
@@ -110,7 +122,7 @@
         self._respond(connection, status, [], reason.encode()[:MAX_ERROR_TEXT_BYTES], close=close)
 
     def _decode(self, connection: ClientConnection) -> None:
-        """Processes the received input as far as it is complete; an invalid request is rejected."""
+        """Processes at most a slice of the received input; an invalid request is rejected."""
         http = connection.http
         try:
             self._handle_http_events(connection, http)
@@ -118,26 +130,30 @@
             self._reject(connection, max(BAD_REQUEST, err.error_status_hint), str(err), close=True)
         except RequestRejectedError as err:
             with contextlib.suppress(h11.RemoteProtocolError):  # skips the received part of the body
-                while http.their_state is h11.SEND_BODY and http.next_event() is not h11.NEED_DATA:
-                    pass
+                for _ in range(MAX_EVENTS_PER_SLICE):
+                    if http.their_state is not h11.SEND_BODY or http.next_event() is h11.NEED_DATA:
+                        break
             # Answers to hundreds of pipelined invalid requests would delay all other clients.
             connection.on_request_read()
             must_close = err.is_framing_unknown or connection.has_pipelined_input
             self._reject(connection, err.status, str(err), close=must_close)
 
     def _handle_http_events(self, connection: ClientConnection, http: h11.Connection) -> None:
-        while not connection.has_unanswered_request and (event := http.next_event()) is not h11.NEED_DATA:
+        connection.has_undecoded_input = False
+        for _ in range(MAX_EVENTS_PER_SLICE):
+            if connection.has_unanswered_request or (event := http.next_event()) is h11.NEED_DATA:
+                break
             match event:
                 case h11.Request():
                     self._handle_head(connection, event)
-                case h11.Data(data=data):
-                    connection.body += data
-                    if len(connection.body) > MAX_BODY_BYTES:
-                        raise RequestRejectedError(PAYLOAD_TOO_LARGE, "body over 64 KiB")
+                case h11.Data():
+                    self._handle_body(connection, event)
                 case h11.EndOfMessage():
                     self._handle_complete_request(connection)
                 case _:
                     return
+        else:
+            connection.has_undecoded_input = True
         if http.they_are_waiting_for_100_continue:
             data = http.send(h11.InformationalResponse(status_code=100, headers=[]))
             connection.writer.write(data or b"")
@@ -151,6 +167,14 @@
                 decode_request(connection.connection_id, connection.waiting_since, head, self._deployment)
             )
 
+    def _handle_body(self, connection: ClientConnection, part: h11.Data) -> None:
+        connection.body += part.data
+        connection.body_chunk_count += part.chunk_start
+        if len(connection.body) > MAX_BODY_BYTES:
+            raise RequestRejectedError(PAYLOAD_TOO_LARGE, "body over 64 KiB")
+        if connection.body_chunk_count > MAX_BODY_CHUNKS:
+            raise RequestRejectedError(PAYLOAD_TOO_LARGE, f"body in over {MAX_BODY_CHUNKS} chunks")
+
     def _handle_complete_request(self, connection: ClientConnection) -> None:
         connection.on_request_read()
         if connection.client_request is None:
@@ -187,3 +211,19 @@
             self._begin_closing(connection)
             return
         connection.on_next_cycle()
+
+
+def _has_too_many_head_lines(connection: ClientConnection, data: bytes) -> bool:
+    """Returns whether a head that is being received exceeds `MAX_HEAD_LINES`; counts its lines so far.
+
+    It is checked before the head is decoded, because each line costs far more to decode than to count.
+    """
+    http = connection.http
+    if http.their_state is not h11.IDLE:
+        return False
+    connection.head_line_count += data.count(b"\n")
+    if connection.head_line_count <= MAX_HEAD_LINES:
+        return False
+    # The lines counted may include a body behind the head.
+    head, _, _ = (http.trailing_data[0] + data).partition(b"\r\n\r\n")
+    return head.count(b"\n") > MAX_HEAD_LINES
--- a/onyxpost/edge/client_listener.py
+++ b/onyxpost/edge/client_listener.py
@@ -61,6 +61,7 @@
         self._http = http
         self._report_fault = report_fault
         self._over_capacity_count = 0
+        self._decoding = asyncio.Lock()
 
     async def listen(self, address: Address) -> None:
         """Starts to accept connections.
@@ -125,9 +126,22 @@
             # Input after this node's end of stream is discarded, as it cannot be answered.
             if self._connections.is_open(connection):
                 self._http.handle_bytes(connection, data)
+                await self._decode_rest(connection)
         if self._connections.is_open(connection) and not connection.has_unanswered_request:
             self._http.handle_end_of_stream(connection)
 
+    async def _decode_rest(self, connection: ClientConnection) -> None:
+        """Decodes the rest of a read in slices.
+
+        In each turn of the event loop one connection decodes one slice, so that clients with input that is
+        costly to decode delay neither each other nor other clients for long.
+        """
+        while connection.has_undecoded_input and self._connections.is_open(connection):
+            async with self._decoding:
+                await asyncio.sleep(0)
+                if self._connections.is_open(connection):
+                    self._http.decode_slice(connection)
+
 
 async def _yield_to_accepts() -> None:
     for _ in range(ACCEPT_TURNS):
