Reserve the trace id of a request that may have been executed after its client left

Cause: the end of the cancelled attempt released the id, though a cancelled or lost attempt may have been executed.

Change: such ids stay reserved for 10 s; a request with one is aborted without an attempt.

--- a/onyxpost/edge/pending_requests.py
+++ b/onyxpost/edge/pending_requests.py
@@ -18,6 +18,8 @@
         client_request: the request as it was received.
         deadline: Unix time in ms by which the answer has to be sent.
         is_finished: whether the final answer was sent or the client has disconnected.
+        is_forwarded: whether the final answer was the response of an app server.
+        is_possibly_executed: whether an attempt that has ended may have executed the request.
         attempt_ids: the ids of all attempts, by attempt index.
         in_flight: number of attempts that have not ended.
     """
@@ -26,6 +28,8 @@
     client_request: ClientRequest
     deadline: float
     is_finished: bool = False
+    is_forwarded: bool = False
+    is_possibly_executed: bool = False
     attempt_ids: list[int] = field(default_factory=list)
     in_flight: int = 0
 
--- a/onyxpost/edge/state_machine.py
+++ b/onyxpost/edge/state_machine.py
@@ -16,7 +16,7 @@
     TimerFired,
 )
 from onyxpost.core.events import Event as DecisionEvent
-from onyxpost.core.types import AttemptResult
+from onyxpost.core.types import AttemptResult, Idempotency
 from onyxpost.edge.effect_sink import EffectSink
 from onyxpost.edge.endpoint_table import EndpointTable
 from onyxpost.edge.messages import (
@@ -31,7 +31,8 @@
     RetireEndpoint,
     SendAnswer,
 )
-from onyxpost.edge.pending_requests import PendingRequests
+from onyxpost.edge.pending_requests import PendingRequest, PendingRequests
+from onyxpost.edge.trace_id_reservations import TraceIdReservations
 from onyxpost.runtime.log_event import LogEvent, fault_event
 
 if TYPE_CHECKING:
@@ -50,6 +51,7 @@
         decision_maker: decides on requests.
         requests: all pending requests.
         endpoints: the endpoints that accept new attempts.
+        trace_id_reservations: the trace ids of requests that must not be executed again.
         sink: receives the decisions and converts them into effects.
     """
 
@@ -58,6 +60,12 @@
         self.decision_maker = decision_maker
         self.requests = PendingRequests()
         self.endpoints = EndpointTable()
+        self.trace_id_reservations = TraceIdReservations()
+        self._idempotent_frontends = {
+            frontend.name
+            for frontend in deployment.frontends
+            if frontend.idempotency is Idempotency.IDEMPOTENT
+        }
         self.sink = EffectSink(self.requests, self.endpoints)
         self._answer_margin_ms = deployment.tick_ms  # time before the client timeout at which answers are due
         self._now = 0.0
@@ -144,9 +152,11 @@
                 return event
 
     def handle_client_request(self, client_request: ClientRequest) -> DecisionEvent | None:
-        """Adds a request; a request with the trace id of a pending one is aborted without an attempt."""
-        if client_request.trace_id in self.requests.by_trace_id:
-            # Its attempts could be executed in addition to those of the pending request.
+        """Adds a request; one with a trace id that is pending or reserved is aborted without an attempt."""
+        trace_id = client_request.trace_id
+        is_reserved = self.trace_id_reservations.is_reserved(trace_id, self._now)
+        if is_reserved or trace_id in self.requests.by_trace_id:
+            # Its attempts could be executed in addition to those of the earlier request.
             self.sink.emit(SendAnswer(client_request.connection_id, FinalAnswer.ABORTED))
             return None
         deadline = client_request.received_at + client_request.timeout_ms - self._answer_margin_ms
@@ -168,8 +178,18 @@
         if request is None:
             return None
         self.sink.settle(request)
+        self._reserve_trace_id(request)
         return RequestCancelled(request.request_id)
 
+    def _reserve_trace_id(self, request: PendingRequest) -> None:
+        """Reserves the trace id of a request whose client got no response though it may have been executed.
+
+        While its attempts are in flight, the trace id is pending.
+        """
+        is_repeatable = request.client_request.frontend in self._idempotent_frontends
+        if request.is_possibly_executed and not request.is_forwarded and not is_repeatable:
+            self.trace_id_reservations.reserve(request.client_request.trace_id, self._now)
+
     def handle_endpoint_update(self, update: EndpointUpdate) -> DecisionEvent:
         """Applies an update, and retires the endpoints that are no longer ready or have another address."""
         for endpoint in self.endpoints.apply(update):
@@ -184,7 +204,10 @@
         request, attempt_index = attempt
         if event.result is AttemptResult.OK:
             connection_id = request.client_request.connection_id
+            request.is_forwarded = not request.is_finished
             self.sink.answer(request, SendAnswer(connection_id, FinalAnswer.FORWARDED, event.response))
+        request.is_possibly_executed |= not event.result.never_executed
+        self._reserve_trace_id(request)
         self.requests.release_if_finished(request)
         return AttemptFinished(
             request.request_id, attempt_index, event.result, event.latency_ms, request.is_finished, 0
--- a/tests/edge/test_state_machine.py
+++ b/tests/edge/test_state_machine.py
@@ -230,3 +230,32 @@
     assert effect_names(node.step(TimerFired(0))) == ["LogEvent", "aborted"]
     node.step()
     assert node.decisions.events[-1] == RequestCancelled("1")
+
+
+@pytest.mark.parametrize(
+    ("frontend", "result", "pause_ms", "effect"),
+    [
+        ("toll", AttemptResult.CANCELLED, 0.0, "aborted"),
+        ("toll", AttemptResult.LOST, 9_999.0, "aborted"),
+        ("toll", AttemptResult.LOST, 10_000.0, "SendAttempt"),
+        ("toll", AttemptResult.NO_CONNECTION, 0.0, "SendAttempt"),
+        ("check", AttemptResult.CANCELLED, 0.0, "SendAttempt"),
+    ],
+)
+def test_a_trace_id_that_comes_again_after_its_client_left_is_not_executed_twice(
+    node: Node, frontend: str, result: AttemptResult, pause_ms: float, effect: str
+) -> None:
+    # Guards against a second execution of a request that may have been executed when its client left.
+    (attempt,) = node.step(node.request()._replace(frontend=frontend))
+    assert isinstance(attempt, SendAttempt)
+    node.step(ClientDisconnected(1))
+    node.step(AttemptEnded(attempt.attempt_id, result, 5.0))
+    node.now += pause_ms
+    assert effect_names(node.step(node.request(connection_id=2)._replace(frontend=frontend))) == [effect]
+
+
+def test_a_trace_id_may_come_again_after_its_client_got_the_response(node: Node) -> None:
+    (attempt,) = node.step(node.request()._replace(frontend="toll"))
+    assert isinstance(attempt, SendAttempt)
+    node.step(AttemptEnded(attempt.attempt_id, AttemptResult.OK, 5.0, RESPONSE))
+    assert effect_names(node.step(node.request()._replace(frontend="toll"))) == ["SendAttempt"]
