Bound the memory of incomplete request bodies by the node's limit

Cause: bodies are bounded for each client only; the node did not read limits.memory_mb.

Change: incomplete bodies may take an eighth of the memory together; beyond it the oldest such request gets 503.

--- a/onyxpost/edge/client_components.py
+++ b/onyxpost/edge/client_components.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from onyxpost.edge.body_budget import DEFAULT_MEMORY_MB, BodyBudget
 from onyxpost.edge.client_closing import ClientCloser
 from onyxpost.edge.client_connections import ClientConnections
 from onyxpost.edge.client_eviction import ClientEviction
@@ -51,6 +52,7 @@
     is_ready: Callable[[], bool],
     has_capacity: Callable[[], bool],
     report_fault: Callable[[str, BaseException], None],
+    memory_mb: float = DEFAULT_MEMORY_MB,
 ) -> Clients:
     """Builds the objects that serve clients; none of them opens a socket yet.
 
@@ -61,9 +63,11 @@
         is_ready: returns whether health checks are answered with 200 rather than 503.
         has_capacity: returns whether one more client may be served.
         report_fault: logs an unexpected exception.
+        memory_mb: the memory that the node may use.
     """
     connections = ClientConnections(transport, post)
-    http = ClientHttp(deployment, transport.clock, post, is_ready, connections.begin_closing)
+    body_budget = BodyBudget(connections, memory_mb)
+    http = ClientHttp(deployment, transport.clock, post, is_ready, connections.begin_closing, body_budget)
     return Clients(
         connections,
         http,
--- a/onyxpost/edge/client_http.py
+++ b/onyxpost/edge/client_http.py
@@ -22,6 +22,7 @@
     from collections.abc import Callable
 
     from onyxpost.config.deployment import Deployment
+    from onyxpost.edge.body_budget import BodyBudget
     from onyxpost.edge.client_connection import ClientConnection
 
 # A client that has more bytes of answers unread than this is disconnected at its next request.
@@ -55,6 +56,7 @@
         post_event: Callable[[EdgeEvent], None],
         is_ready: Callable[[], bool],
         begin_closing: Callable[[ClientConnection], None],
+        body_budget: BodyBudget,
     ) -> None:
         """Creates the HTTP handler of a node that is not shutting down.
 
@@ -64,6 +66,7 @@
             post_event: receives each complete request.
             is_ready: returns whether health checks are answered with 200 rather than 503.
             begin_closing: closes a connection once its last response has been sent.
+            body_budget: limits the memory that incomplete bodies take.
         """
         self.is_shutting_down = False
         self._deployment = deployment
@@ -71,6 +74,7 @@
         self._post_event = post_event
         self._is_ready = is_ready
         self._begin_closing = begin_closing
+        self._body_budget = body_budget
 
     def begin_shutdown(self) -> None:
         """Makes each further response close its connection."""
@@ -174,6 +178,11 @@
             raise RequestRejectedError(PAYLOAD_TOO_LARGE, "body over 64 KiB")
         if connection.body_chunk_count > MAX_BODY_CHUNKS:
             raise RequestRejectedError(PAYLOAD_TOO_LARGE, f"body in over {MAX_BODY_CHUNKS} chunks")
+        oldest = self._body_budget.find_connection_to_reject(connection)
+        if oldest is connection:
+            raise RequestRejectedError(SERVICE_UNAVAILABLE, "too many incomplete bodies")
+        if oldest is not None:
+            self.reject_overloaded(oldest)
 
     def _handle_complete_request(self, connection: ClientConnection) -> None:
         connection.on_request_read()
--- a/onyxpost/node/config.py
+++ b/onyxpost/node/config.py
@@ -113,6 +113,7 @@
         discovery=parse_address_at("discovery", file.discovery),
         alternative_discovery=_parse_optional_address("discovery", file.discovery_too),
         max_descriptors=file.limits.sockets,
+        memory_mb=file.limits.memory_mb,
         peer_listen=_parse_optional_address("peer_listen", file.peer_listen),
         peers=[parse_address_at(f"peers[{index}]", peer) for index, peer in enumerate(file.peers)],
         known_endpoints=build_endpoint_update(file.known, "$.known")._replace(is_complete=True),
--- a/onyxpost/node/config_file.py
+++ b/onyxpost/node/config_file.py
@@ -11,13 +11,15 @@
 from onyxpost.config.decoding import Settings
 from onyxpost.config.planner_settings import PlannerSettings
 from onyxpost.config.settings import DeploymentSettings
+from onyxpost.edge.body_budget import DEFAULT_MEMORY_MB
 from onyxpost.edge.messages import WireEndpointUpdate
 
 
-class DescriptorLimitSettings(Settings):
+class ResourceLimitSettings(Settings):
     """The section `limits` of a node's file."""
 
     sockets: Annotated[int, Meta(ge=8)] = 1024
+    memory_mb: Annotated[float, Meta(gt=0.0)] = DEFAULT_MEMORY_MB
 
 
 class NodeFile(Settings):
@@ -33,7 +35,7 @@
     seed: str
     known: WireEndpointUpdate
     settings: DeploymentSettings
-    limits: DescriptorLimitSettings = msgspec.field(default_factory=DescriptorLimitSettings)
+    limits: ResourceLimitSettings = msgspec.field(default_factory=ResourceLimitSettings)
     peer_listen: str | None = None
     peers: list[str] = msgspec.field(default_factory=list)
     discovery_too: str | None = None
--- a/onyxpost/node/node_config.py
+++ b/onyxpost/node/node_config.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from onyxpost.edge.body_budget import DEFAULT_MEMORY_MB
+
 if TYPE_CHECKING:
     from onyxpost.cluster.membership import ClusterConfig
     from onyxpost.config.address import Address
@@ -48,5 +50,6 @@
     cluster: ClusterConfig | None = None
     leadership: LeadershipConfig | None = None
     zone: str | None = None
+    memory_mb: float = DEFAULT_MEMORY_MB
     routing_rules_path: str | None = None
     routing_rules: CompiledRules | None = None  # as read at the start; None in a reloaded configuration
--- a/tests/edge/test_costly_requests.py
+++ b/tests/edge/test_costly_requests.py
@@ -79,3 +79,22 @@
         head = encode_request("toll", Idempotency_Key="k", Content_Length=str(len(body)))
         lines = b"a:1\r\n" * (MAX_HEAD_LINES - head.count(b"\n") + 1)
         assert b" 200 " in (await edge.send_request(head[:-2] + lines + b"\r\n" + body))[0]
+
+
+@in_event_loop
+async def test_of_too_many_incomplete_bodies_the_oldest_is_rejected() -> None:
+    # Guards against a process that exceeds its memory when many clients stop half way through a large body.
+    limits = {"sockets": 256, "memory_mb": 1.0}  # 128 KiB for incomplete bodies
+    async with StubAppServer() as server, RunningNode(server.address, limits=limits) as edge:
+        connections = []
+        for number in range(3):
+            connections.append(await asyncio.open_connection(*edge.address))
+            head = encode_request("toll", f"t{number}", Idempotency_Key="k", Content_Length="60001")
+            connections[-1][1].write(head + b"x" * 60_000)
+            await asyncio.sleep(0.05)
+        assert b" 503 " in await asyncio.wait_for(connections[0][0].read(), 1.0)
+        for reader, writer in connections[1:]:
+            writer.write(b"x")
+            assert b" 200 " in await asyncio.wait_for(reader.readuntil(b"\r\n"), 1.0)
+        for _, writer in connections:
+            writer.close()
