--- a/onyxpost/policy/leases.py
+++ b/onyxpost/policy/leases.py
@@ -41,11 +41,11 @@
     for lease_id, lease in customer.leases.items():
         if now >= lease.expires_at:
             continue
-        taken_units = int(min(units, lease.units))
-        lease.units -= taken_units
-        units -= taken_units
-        if taken_units:
-            uses.append(LeaseUse(lease_id, taken_units))
+        used_units = int(min(units, lease.units))
+        lease.units -= used_units
+        units -= used_units
+        if used_units:
+            uses.append(LeaseUse(lease_id, used_units))
     return uses
 
 
