--- a/onyxpost/simulation/stubs/app_server.py
+++ b/onyxpost/simulation/stubs/app_server.py
@@ -56,6 +56,7 @@
         latency_ms: Time from a request to its answer.
         malformations: Malformations of the next responses, one for each; the connection is closed after a
             malformed response.
+        page_bytes: Minimum size of a page.
         served_count: Number of well-formed pages sent so far.
     """
 
@@ -78,6 +79,7 @@
         self.behavior = ServerBehavior.SERVE
         self.latency_ms = DEFAULT_LATENCY_MS
         self.malformations: list[Malformation] = []
+        self.page_bytes = 0
         self.served_count = 0
         self.listener: Listener | None = None
 
@@ -153,7 +155,7 @@
 
     def _send_page(self, http: h11.Connection, writer: asyncio.StreamWriter, trace_id: str) -> bool:
         """Sends the page; returns whether the connection can be used for another request."""
-        body = b"page of " + trace_id.encode()
+        body = (b"page of " + trace_id.encode()).ljust(self.page_bytes, b".")
         head = h11.Response(status_code=HTTPStatus.OK, headers=[("Content-Length", str(len(body)))])
         response = encode_message(http, head, body)
         if self.malformations:
--- /dev/null
+++ b/tests/memory/test_memory_limit.py
@@ -0,0 +1,37 @@
+"""An edge node's process stays within its memory, and usual clients are answered, beside bad clients."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.memory.behaviors import MAX_CLIENTS, Behavior, Content
+from tests.memory.memory_run import LOST, MemoryCase, play
+
+pytestmark = pytest.mark.xdist_group("quiet")  # many connections would disturb tests that measure time
+
+LEAST_MEMORY_MB = 32.0
+MAX_PEAK_SHARE = 0.9  # of the memory in the node's file
+SECONDS = 8.0
+
+HALF_BODIES = Behavior(clients=MAX_CLIENTS, content=Content.BODY, size_bytes=60_000, sent_share=0.5)
+SMALL_BODIES = Behavior(clients=MAX_CLIENTS, content=Content.BODY, size_bytes=3_990, sent_share=0.99)
+HALF_HEADS = Behavior(clients=MAX_CLIENTS, content=Content.LONG_FIELDS, size_bytes=15_000, sent_share=0.95)
+SHORT_FIELDS = Behavior(clients=400, content=Content.SHORT_FIELDS, size_bytes=19_500)
+UNREAD_ANSWERS = Behavior(clients=300, content=Content.BODY, size_bytes=60_000, reads=False)
+
+
+@pytest.mark.parametrize(
+    "behaviors",
+    [
+        pytest.param([HALF_BODIES, SMALL_BODIES], id="bodies"),
+        pytest.param([HALF_HEADS, SHORT_FIELDS], id="heads"),
+        pytest.param([UNREAD_ANSWERS], id="answers"),
+    ],
+)
+def test_bad_clients_do_not_make_a_node_exceed_the_least_memory(behaviors: list[Behavior]) -> None:
+    # Guards against a process that is killed for its memory while hundreds of clients send half requests.
+    result = play(MemoryCase(LEAST_MEMORY_MB, 1024, behaviors, SECONDS))
+    assert result.exit_code is None, result.log
+    assert result.peak_mb <= MAX_PEAK_SHARE * LEAST_MEMORY_MB
+    assert result.outcomes[LOST] == 0, result.outcomes
+    assert result.outcomes["200"] > 0
