--- a/onyxpost/__main__.py
+++ b/onyxpost/__main__.py
@@ -17,6 +17,8 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     if sys.argv[1:] == ["serve"]:
+        # A node uses no TLS, and asyncio runs without this module, whose libraries take 4.5 MB.
+        sys.modules["ssl"] = None  # type: ignore[assignment]
         from onyxpost.node.serve import serve
 
         sys.exit(serve())
--- a/tests/process/test_command_line.py
+++ b/tests/process/test_command_line.py
@@ -53,6 +53,15 @@
     assert "onyxpost.process" in imported_modules("node", ("onyxpost.process", "none"))
 
 
+def test_a_serving_process_does_not_load_tls_libraries() -> None:
+    command = [sys.executable, "-X", "importtime", "-m", "onyxpost", "serve"]
+    completed = subprocess.run(command, capture_output=True, text=True, env={})  # no file is named
+    assert completed.returncode == 2
+    imported = [line.rpartition("|")[2].strip() for line in completed.stderr.splitlines()]
+    assert "asyncio" in imported
+    assert "_ssl" not in imported
+
+
 def test_a_planner_does_not_import_a_node() -> None:
     assert imported_modules("planner", NODE_MODULES) == []
 
