--- a/onyxpost/edge/client_listener.py
+++ b/onyxpost/edge/client_listener.py
@@ -7,7 +7,6 @@
 
 from onyxpost.edge.client_connection import INCOMPLETE_REQUEST_GRACE_MS, ClientConnection
 from onyxpost.runtime.http1 import limit_read_size
-from onyxpost.runtime.transport import stop_accepting
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -86,7 +85,7 @@
             accepted_before = self.accepted_count
             await _yield_to_accepts()
         if self.server is not None:
-            stop_accepting(self.server)
+            self.server.stop_accepting()
         await _yield_to_accepts()
         self.close()
 
--- a/onyxpost/runtime/socket_transport.py
+++ b/onyxpost/runtime/socket_transport.py
@@ -14,6 +14,7 @@
 
 from onyxpost.core.units import MS_PER_SECOND
 from onyxpost.errors import ListenError
+from onyxpost.runtime.socket_listener import SocketListener
 from onyxpost.runtime.transport import ByteCountingReader, DialedConnection, FlowControlProtocol, UnreadInput
 
 if TYPE_CHECKING:
@@ -24,7 +25,7 @@
 
 # File descriptors that are not available for sockets: standard streams, event loop and interpreter use them.
 RESERVED_DESCRIPTORS = 16
-LISTEN_BACKLOG = 1024  # connections that the kernel queues until the process accepts them
+LISTEN_BACKLOG = 4096  # connections that the kernel queues until the process accepts them
 
 
 class SocketTransport:
@@ -43,7 +44,7 @@
 
     async def listen(
         self, serve: ConnectionHandler, address: Address, buffer_limit_bytes: int, max_accepts_per_turn: int
-    ) -> asyncio.Server:
+    ) -> SocketListener:
         """Listens at `address`; see `Transport.listen`."""
         try:
             listener = _with_explicit_tcp_protocol(socket.create_server(address, backlog=LISTEN_BACKLOG))
@@ -55,11 +56,7 @@
             reader = ByteCountingReader(limit=buffer_limit_bytes, loop=loop)
             return asyncio.StreamReaderProtocol(reader, serve, loop=loop)  # type: ignore[arg-type]
 
-        server = await loop.create_server(create_protocol, sock=listener, backlog=max_accepts_per_turn)
-        # asyncio uses `backlog` both for the kernel's queue and for the number of connections accepted per
-        # turn of the event loop. This call sets the kernel's queue to its own value.
-        listener.listen(LISTEN_BACKLOG)
-        return server
+        return SocketListener(listener, create_protocol, max_accepts_per_turn)
 
     async def dial(self, address: Address, buffer_limit_bytes: int) -> DialedConnection:
         """Opens a TCP connection.
--- a/onyxpost/runtime/transport.py
+++ b/onyxpost/runtime/transport.py
@@ -83,12 +83,15 @@
 
 
 class Listener(Protocol):
-    """The part of `asyncio.Server` that a node uses."""
+    """A listening socket."""
 
     @property
     def sockets(self) -> tuple[Any, ...]:
         """The listening sockets; none after `close`."""
 
+    def stop_accepting(self) -> None:
+        """Stops accepting connections, but keeps the listener open."""
+
     def close(self) -> None:
         """Stops listening; accepted connections stay open."""
 
@@ -141,13 +144,3 @@
 
     def descriptor_limit(self) -> int:
         """Returns how many sockets the system lets this process open."""
-
-
-def stop_accepting(listener: Listener) -> None:
-    """Stops accepting connections, but keeps the listener open.
-
-    asyncio creates no transport for a connection of a closed server, so closing the listener would lose the
-    connections that were just accepted.
-    """
-    for sock in listener.sockets:
-        asyncio.get_running_loop().remove_reader(sock.fileno())
--- a/onyxpost/simulation/virtual_time/listener.py
+++ b/onyxpost/simulation/virtual_time/listener.py
@@ -40,6 +40,9 @@
         """An empty tuple, since there are no sockets."""
         return ()
 
+    def stop_accepting(self) -> None:
+        """Does nothing, since connections do not wait to be accepted."""
+
     def close(self) -> None:
         """Stops listening; accepted connections stay open."""
         self.table.stop_listening(self)
