--- a/onyxpost/edge/client_connections.py
+++ b/onyxpost/edge/client_connections.py
@@ -36,6 +36,10 @@
         """Adds a newly accepted connection."""
         self.open[connection.connection_id] = connection
 
+    def find(self, connection_id: int) -> ClientConnection | None:
+        """Returns the connection with this id, open or closing; None if it is closed."""
+        return self.open.get(connection_id) or self.closing.get(connection_id)
+
     def is_open(self, connection: ClientConnection) -> bool:
         """Returns whether a connection may still send requests."""
         return connection.connection_id in self.open and not connection.is_closing()
--- a/onyxpost/edge/client_http.py
+++ b/onyxpost/edge/client_http.py
@@ -7,9 +7,11 @@
 
 import h11
 
+from onyxpost.edge.client_connection import COPY_COUNT, REQUEST_BYTES
 from onyxpost.edge.errors import RequestRejectedError
 from onyxpost.edge.messages import (
     MAX_BODY_BYTES,
+    ClientRequest,
     EdgeEvent,
     Headers,
     SendAnswer,
@@ -22,7 +24,6 @@
     from collections.abc import Callable
 
     from onyxpost.config.deployment import Deployment
-    from onyxpost.edge.body_budget import BodyBudget
     from onyxpost.edge.client_connection import ClientConnection
 
 # A client that has more bytes of answers unread than this is disconnected at its next request.
@@ -31,6 +32,8 @@
 MAX_EVENTS_PER_SLICE = 32
 MAX_BODY_CHUNKS = 1024  # a body of the largest size may have chunks of 64 bytes
 MAX_HEAD_LINES = 100
+# An answer is expected to be as long as the longest one of late; its length decays by this factor an answer.
+EXPECTED_ANSWER_DECAY = 0.99
 MAX_ERROR_TEXT_BYTES = 200  # limits the body of a 4xx answer, which may quote the request
 HEALTH_CHECK_TARGET = b"/healthz"
 HEALTH_CHECK_METHODS = (b"GET", b"HEAD")
@@ -56,7 +59,7 @@
         post_event: Callable[[EdgeEvent], None],
         is_ready: Callable[[], bool],
         begin_closing: Callable[[ClientConnection], None],
-        body_budget: BodyBudget,
+        admits_request: Callable[[ClientConnection, int], bool],
     ) -> None:
         """Creates the HTTP handler of a node that is not shutting down.
 
@@ -66,7 +69,8 @@
             post_event: receives each complete request.
             is_ready: returns whether health checks are answered with 200 rather than 503.
             begin_closing: closes a connection once its last response has been sent.
-            body_budget: limits the memory that incomplete bodies take.
+            admits_request: returns whether the memory suffices for a complete request that takes the given
+                number of bytes beyond its input.
         """
         self.is_shutting_down = False
         self._deployment = deployment
@@ -74,7 +78,8 @@
         self._post_event = post_event
         self._is_ready = is_ready
         self._begin_closing = begin_closing
-        self._body_budget = body_budget
+        self._admits_request = admits_request
+        self._expected_answer_bytes = 0.0
 
     def begin_shutdown(self) -> None:
         """Makes each further response close its connection."""
@@ -93,6 +98,8 @@
         if _has_too_many_head_lines(connection, data):
             self._reject(connection, HEAD_TOO_LARGE, f"over {MAX_HEAD_LINES} lines in the head", close=True)
             return
+        if connection.http.their_state is h11.IDLE:
+            connection.undecoded_head_bytes += len(data)
         connection.http.receive_data(data)
         self._decode(connection)
 
@@ -108,8 +115,12 @@
     def send_answer(self, connection: ClientConnection, answer: SendAnswer) -> None:
         """Sends the final answer to the request in flight."""
         connection.on_request_settled()
+        encoded = encode_answer(answer)
+        self._expected_answer_bytes = max(
+            len(encoded.body), EXPECTED_ANSWER_DECAY * self._expected_answer_bytes
+        )
         try:
-            self._respond(connection, *encode_answer(answer), close=connection.has_pipelined_input)
+            self._respond(connection, *encoded, close=connection.has_pipelined_input)
         except h11.LocalProtocolError:  # the answer cannot be encoded, and the client must not wait for it
             self._begin_closing(connection)
             raise
@@ -178,11 +189,6 @@
             raise RequestRejectedError(PAYLOAD_TOO_LARGE, "body over 64 KiB")
         if connection.body_chunk_count > MAX_BODY_CHUNKS:
             raise RequestRejectedError(PAYLOAD_TOO_LARGE, f"body in over {MAX_BODY_CHUNKS} chunks")
-        oldest = self._body_budget.find_connection_to_reject(connection)
-        if oldest is connection:
-            raise RequestRejectedError(SERVICE_UNAVAILABLE, "too many incomplete bodies")
-        if oldest is not None:
-            self.reject_overloaded(oldest)
 
     def _handle_complete_request(self, connection: ClientConnection) -> None:
         connection.on_request_read()
@@ -192,9 +198,16 @@
         elif connection.is_over_capacity:
             self.reject_overloaded(connection)
         else:
-            request = connection.client_request._replace(body=bytes(connection.body))
-            connection.on_request_posted()
-            self._post_event(request)
+            self._post_request(connection, connection.client_request)
+
+    def _post_request(self, connection: ClientConnection, request: ClientRequest) -> None:
+        body = connection.take_body()
+        waiting_bytes = REQUEST_BYTES + COPY_COUNT * (len(body) + int(self._expected_answer_bytes))
+        if not self._admits_request(connection, waiting_bytes):
+            self.reject_overloaded(connection)
+            return
+        connection.on_request_posted(waiting_bytes)
+        self._post_event(request._replace(body=body))
 
     def _respond(
         self,
--- a/onyxpost/edge/client_listener.py
+++ b/onyxpost/edge/client_listener.py
@@ -14,9 +14,10 @@
     from onyxpost.config.address import Address
     from onyxpost.edge.client_connections import ClientConnections
     from onyxpost.edge.client_http import ClientHttp
+    from onyxpost.edge.client_memory import ClientMemory
     from onyxpost.runtime.transport import ByteCountingReader, Listener, Transport
 
-READ_BUFFER_BYTES = 16384  # limit of one read from a client, and of the input buffered for each client
+READ_BUFFER_BYTES = 4096  # limit of one read from a client, and of the input buffered for each client
 # Turns of the event loop within which an accepted connection reaches its first read. The transport, its
 # protocol and the reading task take one turn each; the other turns are a margin.
 ACCEPT_TURNS = 8
@@ -39,6 +40,7 @@
         transport: Transport,
         connections: ClientConnections,
         http: ClientHttp,
+        memory: ClientMemory,
         has_capacity: Callable[[], bool],
         report_fault: Callable[[str, BaseException], None],
     ) -> None:
@@ -48,6 +50,7 @@
             transport: the node's transport.
             connections: the table to which accepted connections are added.
             http: receives the input of each connection.
+            memory: accounts for what each connection makes the node hold.
             has_capacity: returns whether one more client may be served.
             report_fault: logs an unexpected exception.
         """
@@ -58,6 +61,7 @@
         self._clock = transport.clock
         self._connections = connections
         self._http = http
+        self._memory = memory
         self._report_fault = report_fault
         self._over_capacity_count = 0
         self._decoding = asyncio.Lock()
@@ -106,6 +110,8 @@
         )
         self._connections.add(connection)
         self._over_capacity_count += connection.is_over_capacity
+        reader.on_received = lambda: self._memory.on_change(connection)
+        self._memory.on_change(connection)
         try:
             await self._read(connection)
         except OSError:
@@ -116,6 +122,8 @@
             try:
                 await self._connections.finish_closing(connection)
             finally:
+                reader.on_received = None
+                self._memory.on_closed(connection)
                 self._over_capacity_count -= connection.is_over_capacity
 
     async def _read(self, connection: ClientConnection) -> None:
@@ -126,6 +134,7 @@
             if self._connections.is_open(connection):
                 self._http.handle_bytes(connection, data)
                 await self._decode_rest(connection)
+            self._memory.on_change(connection)
         if self._connections.is_open(connection) and not connection.has_unanswered_request:
             self._http.handle_end_of_stream(connection)
 
--- a/onyxpost/edge/errors.py
+++ b/onyxpost/edge/errors.py
@@ -29,6 +29,14 @@
     )
 
 
+class InsufficientMemoryError(InvalidInputError):
+    """The memory that a node may use does not suffice for the node itself and a few hundred clients."""
+
+    remedy = (
+        "raise limits.memory_mb in the node's file, and the memory that the process gets, to the named value"
+    )
+
+
 class RequestRejectedError(Exception):
     """A client's request is invalid and is not forwarded.
 
--- a/onyxpost/node/components.py
+++ b/onyxpost/node/components.py
@@ -84,7 +84,7 @@
         node.is_ready,
         lambda: descriptors.has_client_capacity(),  # `descriptors` is defined below, since it needs `clients`
         node.report_fault,
-        config.memory_mb,
+        node.log,
     )
     options = UpstreamPoolOptions(
         connect_timeout_ms=deployment.connect_timeout_ms,
--- a/onyxpost/node/config_file.py
+++ b/onyxpost/node/config_file.py
@@ -11,7 +11,7 @@
 from onyxpost.config.decoding import Settings
 from onyxpost.config.planner_settings import PlannerSettings
 from onyxpost.config.settings import DeploymentSettings
-from onyxpost.edge.body_budget import DEFAULT_MEMORY_MB
+from onyxpost.edge.memory_account import DEFAULT_MEMORY_MB
 from onyxpost.edge.messages import WireEndpointUpdate
 
 
--- a/onyxpost/node/edge_node.py
+++ b/onyxpost/node/edge_node.py
@@ -9,6 +9,7 @@
 
 from onyxpost.core.events import RoutingRulesChanged
 from onyxpost.edge.descriptor_budget import ExhaustionLogLimiter
+from onyxpost.edge.memory_account import account_limit_bytes
 from onyxpost.edge.messages import ClientDisconnected, SendAttempt
 from onyxpost.errors import InvalidInputError
 from onyxpost.node.components import build_components
@@ -90,6 +91,7 @@
 
         Raises:
             ListenError: the node cannot listen at one of its addresses.
+            InsufficientMemoryError: the memory in the node's file does not suffice.
         """
         stop = asyncio.Event()
         await self._prepare_to_serve(stop)
@@ -108,6 +110,8 @@
         Installs the signal handlers, opens the peer socket, applies the endpoints and rules that the files
         contain, and waits a short time for endpoints from discovery.
         """
+        resident_bytes = self.transport.resident_bytes()
+        self.clients.memory.account.limit_bytes = account_limit_bytes(self.config.memory_mb, resident_bytes)
         asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         self.transport.install_signal_handlers(stop.set, self.reload)
         if self.config.peer_listen is not None:
@@ -224,6 +228,7 @@
         """Closes connections that exceed a timeout, and schedules the next such check."""
         self.upstream_pool.close_expired()
         self.clients.closer.close_expired()
+        self.clients.memory.update_all()
         asyncio.get_running_loop().call_later(SWEEP_INTERVAL_SECONDS, self.close_expired_connections)
 
     # Log
--- a/onyxpost/node/node_config.py
+++ b/onyxpost/node/node_config.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from onyxpost.edge.body_budget import DEFAULT_MEMORY_MB
+from onyxpost.edge.memory_account import DEFAULT_MEMORY_MB
 
 if TYPE_CHECKING:
     from onyxpost.cluster.membership import ClusterConfig
--- a/onyxpost/runtime/socket_transport.py
+++ b/onyxpost/runtime/socket_transport.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import time
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from onyxpost.core.units import MS_PER_SECOND
@@ -25,6 +26,7 @@
 
 # File descriptors that are not available for sockets: standard streams, event loop and interpreter use them.
 RESERVED_DESCRIPTORS = 16
+STATM_PATH = Path("/proc/self/statm")  # sizes of this process in pages; the second is the resident size
 LISTEN_BACKLOG = 4096  # connections that the kernel queues until the process accepts them
 
 
@@ -120,6 +122,11 @@
         """Returns how many sockets the system's limit on file descriptors lets this process open."""
         return max(1, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - RESERVED_DESCRIPTORS)
 
+    def resident_bytes(self) -> int:
+        """Returns the resident memory of this process."""
+        resident_pages = int(STATM_PATH.read_text().split()[1])
+        return resident_pages * resource.getpagesize()
+
     def ignore_signals(self) -> None:
         """Ignores SIGHUP and SIGTERM while the process ends.
 
@@ -131,6 +138,10 @@
         asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
         signal.signal(signal.SIGTERM, lambda *_: None)
 
+    def collect_garbage(self) -> None:
+        """Frees the cyclic garbage among the objects that were created after the start."""
+        gc.collect()
+
     def freeze_startup_objects(self) -> None:
         """Excludes all objects that exist now from garbage collection; they live as long as the process."""
         gc.collect()
--- a/onyxpost/runtime/transport.py
+++ b/onyxpost/runtime/transport.py
@@ -23,15 +23,19 @@
 class ByteCountingReader(asyncio.StreamReader):
     """A stream reader that counts all bytes received.
 
-    Input is unread if `bytes_received` exceeds the number of bytes that the owner has read.
+    Input is unread if `bytes_received` exceeds the number of bytes that the owner has read. `on_received` is
+    called whenever bytes have been received.
     """
 
     bytes_received = 0
+    on_received: Callable[[], None] | None = None
 
     def feed_data(self, data: Any) -> None:  # noqa: ANN401 - wider than bytes in the base class
         """Counts the bytes and buffers them."""
         self.bytes_received += len(data)
         super().feed_data(data)
+        if self.on_received is not None:
+            self.on_received()
 
 
 ConnectionHandler = Callable[[ByteCountingReader, asyncio.StreamWriter], Awaitable[None]]
@@ -142,5 +146,11 @@
     def freeze_startup_objects(self) -> None:
         """Excludes all objects that exist now from garbage collection."""
 
+    def collect_garbage(self) -> None:
+        """Frees objects that refer to each other, as closed connections do."""
+
     def descriptor_limit(self) -> int:
         """Returns how many sockets the system lets this process open."""
+
+    def resident_bytes(self) -> int:
+        """Returns the memory that this process uses now."""
--- a/onyxpost/simulation/discrete_event/policy_overrides.py
+++ b/onyxpost/simulation/discrete_event/policy_overrides.py
@@ -13,6 +13,7 @@
 from onyxpost.policy.latency_estimates import LatencyEstimator
 from onyxpost.policy.load_balancing import LoadBalancer
 from onyxpost.policy.load_shedding import LatencyLoadShedder
+from onyxpost.policy.memory_pressure import MemoryPressurePolicy
 from onyxpost.policy.node_timer import NodeTimer
 from onyxpost.policy.outlier_detection import OutlierDetector
 from onyxpost.policy.peer_usage import PeerUsageAccounting
@@ -37,6 +38,7 @@
     LatencyEstimator,
     LatencyLoadShedder,
     LoadBalancer,
+    MemoryPressurePolicy,
     NodeTimer,
     OutlierDetector,
     PeerUsageAccounting,
--- a/onyxpost/simulation/virtual_time/host.py
+++ b/onyxpost/simulation/virtual_time/host.py
@@ -112,6 +112,13 @@
         self._on_stop = stop
         self._on_reload = reload
 
+    def collect_garbage(self) -> None:
+        """Does nothing, since all hosts share a process."""
+
+    def resident_bytes(self) -> int:
+        """Returns 0, since all hosts share a process."""
+        return 0
+
     def ignore_signals(self) -> None:
         """Ignores SIGHUP from now on; a second SIGTERM changes nothing."""
         self._on_reload = _ignore_signal
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -172,11 +172,14 @@
         self.reload_fields: dict[str, Any] | None = None  # fields of the file that a reload reads
         node_config = config.decode_config(node_fields(*servers, **changes))
         event_log = StructuredLog("n0", out=io.TextIOWrapper(self.log_output, write_through=True))
-        self.node = EdgeNode(node_config, event_log, self._reread_config)
+        transport = SocketTransport()
+        transport.resident_bytes = lambda: 0  # type: ignore[method-assign]  # the test process is not a node
+        self.node = EdgeNode(node_config, event_log, self._reread_config, transport)
 
     async def __aenter__(self) -> RunningNode:
         self.running = asyncio.get_running_loop().create_task(self.node.run())
         while not self.node.is_ready():
+            assert not self.running.done(), self.running
             await asyncio.sleep(0.001)
         assert self.node.clients.listener.server is not None
         self.address = self.node.clients.listener.server.sockets[0].getsockname()
--- a/tests/edge/test_client_disconnects.py
+++ b/tests/edge/test_client_disconnects.py
@@ -79,7 +79,7 @@
         def post_event(value: EdgeEvent) -> None:
             received.set()
 
-        clients = build_clients(deployment, host, post_event, lambda: True, lambda: True, print)
+        clients = build_clients(deployment, host, post_event, lambda: True, lambda: True, print, print)
         await clients.listener.listen(("edge", 80))
         waiting_results = []
         for reset in (False, True):
--- a/tests/edge/test_costly_requests.py
+++ b/tests/edge/test_costly_requests.py
@@ -84,8 +84,8 @@
 @in_event_loop
 async def test_of_too_many_incomplete_bodies_the_oldest_is_rejected() -> None:
     # Guards against a process that exceeds its memory when many clients stop half way through a large body.
-    limits = {"sockets": 256, "memory_mb": 1.0}  # 128 KiB for incomplete bodies
-    async with StubAppServer() as server, RunningNode(server.address, limits=limits) as edge:
+    async with StubAppServer() as server, RunningNode(server.address) as edge:
+        edge.node.clients.memory.account.limit_bytes = 255_000  # two such bodies, one of them passed on
         connections = []
         for number in range(3):
             connections.append(await asyncio.open_connection(*edge.address))
