--- a/onyxpost/edge/client_connection.py
+++ b/onyxpost/edge/client_connection.py
@@ -42,6 +42,7 @@
         bytes_read: number of bytes read from `reader`.
         waiting_since: time in ms at which the wait for a request began, or its first byte arrived.
         deadline: time in ms at which the connection is closed unless it makes progress.
+        is_ending: whether the end of this node's stream was sent, so that nothing more can be answered.
         has_unanswered_request: whether a request was posted as an event and is not answered yet.
         has_partial_request: whether a part of the next request has been received.
         is_new: whether no request was answered yet, so that the first one may be in transit.
@@ -77,6 +78,7 @@
         self.bytes_read = 0
         self.waiting_since = now
         self.deadline = now + REQUEST_TIMEOUT_MS
+        self.is_ending = False
         self.has_unanswered_request = False
         self.has_partial_request = False
         self.is_new = True
@@ -215,6 +217,7 @@
         The deadline is after `linger_ms`, or after `IDLE_TIMEOUT_MS` if answers are still to be sent.
         """
         self.deadline = now + (IDLE_TIMEOUT_MS if self.unsent_bytes() else linger_ms)
+        self.is_ending = True
         self.on_next_cycle()
         self._http = None
 
--- a/onyxpost/edge/client_http.py
+++ b/onyxpost/edge/client_http.py
@@ -156,6 +156,8 @@
     def _handle_http_events(self, connection: ClientConnection, http: h11.Connection) -> None:
         connection.has_undecoded_input = False
         for _ in range(MAX_EVENTS_PER_SLICE):
+            if connection.is_ending:
+                return
             if connection.has_unanswered_request or (event := http.next_event()) is h11.NEED_DATA:
                 break
             match event:
@@ -218,6 +220,8 @@
         *,
         close: bool = False,
     ) -> None:
+        if connection.is_ending:
+            return
         http = connection.http
         connection.on_response(self._clock())
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/tests/edge/test_costly_requests.py
+++ b/tests/edge/test_costly_requests.py
@@ -98,3 +98,16 @@
             assert b" 200 " in await asyncio.wait_for(reader.readuntil(b"\r\n"), 1.0)
         for _, writer in connections:
             writer.close()
+
+
+@in_event_loop
+async def test_a_request_that_memory_cannot_take_is_rejected_once_with_input_behind_it() -> None:
+    # Guards against an exception for each such request, whose log lines delay all other clients.
+    async with StubAppServer() as server, RunningNode(server.address) as edge:
+        edge.node.clients.memory.account.limit_bytes = 12_000  # a connection, and no request
+        edge.writer.write(encode_request() * 3)
+        answer = await asyncio.wait_for(edge.reader.read(), 5.0)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert answer.count(b"HTTP/1.1") == 1
+        assert b"fault" not in edge.log_output.getvalue()
+        assert server.received_heads == []
