--- a/tests/memory/memory_run.py
+++ b/tests/memory/memory_run.py
@@ -15,7 +15,7 @@
 from collections import Counter
 from pathlib import Path
 from time import monotonic
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import h11
 import msgspec
@@ -27,6 +27,9 @@
 from onyxpost.simulation.stub_upstreams import StubEnvironment
 from tests.memory.behaviors import PLAN, Behavior, draw_behaviors
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 ROOT = Path(__file__).parents[2]
 SERVER_COUNT = 10
 SERVER_LATENCY_MS = 50.0
@@ -150,31 +153,43 @@
         return str(answer.status)
 
 
-async def run_case(case: MemoryCase, folder: Path) -> MemoryResult:
-    """Plays one run on real processes."""
-    environment = StubEnvironment(SERVER_COUNT, SERVER_LATENCY_MS, 0, ANY_PORT)
-    for server in environment.servers:
-        server.page_bytes = PAGE_BYTES
-    await environment.open()
-    port = find_free_ports(1)[0]
+@contextlib.asynccontextmanager
+async def running_node(
+    fields: dict[str, Any], folder: Path, descriptors: int = 1024
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Runs a node with these fields of its file; its log is `node.log` in the folder."""
     path = folder / "node.json"
-    path.write_bytes(msgspec.json.encode(node_file_fields(case, port, environment)))
+    path.write_bytes(msgspec.json.encode(fields))
     with (folder / "node.log").open("wb") as log:
         node = await asyncio.create_subprocess_shell(
-            f"ulimit -n {case.descriptors}; {run_command()}",
+            f"ulimit -n {descriptors}; {run_command()}",
             cwd=ROOT,
             env={"EDGE_CONFIG": str(path)},
             stdout=log,
             stderr=log,
         )
     try:
-        await _wait_until_ready(port)
-        result = await _measure(case, port, node)
+        await _wait_until_ready(int(fields["listen"].rpartition(":")[2]))
+        yield node
     finally:
-        exit_code = node.returncode
-        if exit_code is None:
+        if node.returncode is None:
             node.kill()
         await node.wait()
+
+
+async def run_case(case: MemoryCase, folder: Path) -> MemoryResult:
+    """Plays one run on real processes."""
+    environment = StubEnvironment(SERVER_COUNT, SERVER_LATENCY_MS, 0, ANY_PORT)
+    for server in environment.servers:
+        server.page_bytes = PAGE_BYTES
+    await environment.open()
+    port = find_free_ports(1)[0]
+    fields = node_file_fields(case, port, environment)
+    try:
+        async with running_node(fields, folder, case.descriptors) as node:
+            result = await _measure(case, port, node)
+            exit_code = node.returncode
+    finally:
         await environment.close()
     return result._replace(exit_code=exit_code, log=(folder / "node.log").read_text())
 
