--- a/onyxpost/core/events.py
+++ b/onyxpost/core/events.py
@@ -110,6 +110,12 @@
     rules: RoutingRules
 
 
+class CustomerLimitChanged(NamedTuple):
+    """The node's memory holds at most `max_customers` customers from now on."""
+
+    max_customers: int
+
+
 class PeerMessageReceived(NamedTuple):
     """A message from another node has arrived; `body` is the text that `gossip_codec` decodes."""
 
@@ -134,6 +140,7 @@
     | LeaseGranted
     | LeaseRevoked
     | RoutingRulesChanged
+    | CustomerLimitChanged
     | PeerMessageReceived
     | TimerFired
 )
--- a/onyxpost/edge/client_http.py
+++ b/onyxpost/edge/client_http.py
@@ -204,7 +204,7 @@
 
     def _post_request(self, connection: ClientConnection, request: ClientRequest) -> None:
         body = connection.take_body()
-        waiting_bytes = REQUEST_BYTES + COPY_COUNT * (len(body) + int(self._expected_answer_bytes))
+        waiting_bytes = REQUEST_BYTES + COPY_COUNT * len(body) + int(self._expected_answer_bytes)
         if not self._admits_request(connection, waiting_bytes):
             self.reject_overloaded(connection)
             return
--- a/onyxpost/edge/memory_account.py
+++ b/onyxpost/edge/memory_account.py
@@ -11,7 +11,9 @@
 DEFAULT_MEMORY_MB = 192.0
 # Share of the memory that is free after the start. The rest is for copies that last shorter than a turn of
 # the event loop, for fragmentation, and for what a node learns about servers and customers.
-ACCOUNT_SHARE = 0.4
+ACCOUNT_SHARE = 0.35
+CUSTOMER_SHARE = 0.15
+CUSTOMER_BYTES = 1024  # memory of one customer's quota, with its place in the table
 MIN_LIMIT_BYTES = 2 * BYTES_PER_MB  # for the connections of a few hundred clients
 
 
@@ -54,6 +56,11 @@
     return limit_bytes
 
 
+def max_customers(memory_mb: float, resident_bytes: int) -> int:
+    """Returns how many customers a node can know; the arguments are those of `account_limit_bytes`."""
+    return int(CUSTOMER_SHARE * (memory_mb * BYTES_PER_MB - resident_bytes) / CUSTOMER_BYTES)
+
+
 class MemoryAccount:
     """The sum of what clients make a node hold.
 
--- a/onyxpost/edge/messages/events.py
+++ b/onyxpost/edge/messages/events.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from onyxpost.core.events import (
+    CustomerLimitChanged,
     LeaseGranted,
     LeaseRevoked,
     PeerMessageReceived,
@@ -117,4 +118,5 @@
     | LeaseGranted
     | LeaseRevoked
     | RoutingRulesChanged
+    | CustomerLimitChanged
 )
--- a/onyxpost/node/edge_node.py
+++ b/onyxpost/node/edge_node.py
@@ -7,9 +7,9 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-from onyxpost.core.events import RoutingRulesChanged
+from onyxpost.core.events import CustomerLimitChanged, RoutingRulesChanged
 from onyxpost.edge.descriptor_budget import ExhaustionLogLimiter
-from onyxpost.edge.memory_account import account_limit_bytes
+from onyxpost.edge.memory_account import account_limit_bytes, max_customers
 from onyxpost.edge.messages import ClientDisconnected, SendAttempt
 from onyxpost.errors import InvalidInputError
 from onyxpost.node.components import build_components
@@ -112,6 +112,8 @@
         """
         resident_bytes = self.transport.resident_bytes()
         self.clients.memory.account.limit_bytes = account_limit_bytes(self.config.memory_mb, resident_bytes)
+        max_known = max_customers(self.config.memory_mb, resident_bytes)
+        self.event_processor.queued_events.append(CustomerLimitChanged(max_known))
         asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         self.transport.install_signal_handlers(stop.set, self.reload)
         if self.config.peer_listen is not None:
--- a/onyxpost/policy/admission.py
+++ b/onyxpost/policy/admission.py
@@ -34,6 +34,9 @@
 
     def on_request_arrived(self, now: float, event: RequestArrived, sink: DecisionSink) -> None:
         """Routes, queues or rejects a request that has just arrived."""
+        if not self._state.customers.can_hold(event.customer):
+            self._rejecter.reject_new_customer(event.request_id, sink)
+            return
         request = self._new_request(now, event)
         customer = request.customer
         has_capacity = not self._hard_limit_wait.has_waiting(customer) and self._quotas.has_capacity(
--- a/onyxpost/policy/gateway.py
+++ b/onyxpost/policy/gateway.py
@@ -76,6 +76,7 @@
         register(event_types.AttemptFinished, handling.results.on_attempt_finished)
         register(event_types.LeaseGranted, leases.on_lease_granted)
         register(event_types.LeaseRevoked, leases.on_lease_revoked)
+        register(event_types.CustomerLimitChanged, self.quota_control.quota_policy.on_customer_limit_changed)
         register(event_types.RoutingRulesChanged, handling.constraints.on_routing_rules_changed)
         register(event_types.PeerMessageReceived, self.gossip_scheduler.on_peer_message)
         register(
--- a/onyxpost/policy/gossip_messages.py
+++ b/onyxpost/policy/gossip_messages.py
@@ -57,6 +57,8 @@
             return
         is_counted = not message.reports
         for report in message.reports:
+            if not self._quotas.customers.can_hold(report.customer):
+                continue
             customer = self._quotas.customers.get(report.customer)
             self._quotas.assign_plan(customer, now, report.placement)
             self._quotas.peer_usage.apply_report(customer, now, peer, message.incarnation, report)
@@ -66,6 +68,8 @@
         if is_counted:  # reports to a coordinator are not counted, as they would defer its corrections
             self._received.add(now, ONE_MESSAGE)
         for correction in message.corrections:
+            if not self._quotas.customers.can_hold(correction.customer):
+                continue
             customer = self._quotas.customers.get(correction.customer)
             self._quotas.peer_usage.apply_correction(customer, now, peer, correction)
 
--- a/onyxpost/policy/quotas.py
+++ b/onyxpost/policy/quotas.py
@@ -4,8 +4,10 @@
 
 from onyxpost.core.customer_quota import UNKNOWN_PLAN, CustomerQuota
 from onyxpost.core.customer_table import CustomerTable
+from onyxpost.core.events import CustomerLimitChanged
 from onyxpost.core.options import GatewayOptions
 from onyxpost.core.requests import Request
+from onyxpost.core.sink import DecisionSink
 from onyxpost.core.usage_reports import Placement
 from onyxpost.policy.hard_limit_queue import HardLimitQueue
 from onyxpost.policy.leases import leased_units
@@ -23,6 +25,9 @@
     """
 
     FORGET_AFTER_MS = 20000.0  # time since a customer was last seen after which it is dropped if unused
+    # From this share of the customers that the memory holds, unused ones are dropped however recently seen.
+    CROWDED_SHARE = 0.75
+    CROWDED_SWEEP_MS = 250.0  # time between two searches for unused customers while there are so many
     SWEEP_FRACTION = 0.25  # time between two searches for unused customers, as a fraction of that time
     MAX_DEBT_MS = 1000.0  # largest debt of a bucket due to peers' usage, as the time to refill it
     # Largest number of peers that get reports in turn. A larger set has a coordinator, unless the plan has a
@@ -37,6 +42,7 @@
         self.customers = customers
         self.peer_usage = PeerUsageAccounting()
         self._next_sweep_at = customers.started_at
+        self._next_crowded_sweep_at = customers.started_at
         self._capacity_rule: CapacityRule = self._may_spend
 
     def assign_plan(self, customer: CustomerQuota, now: float, placement: Placement) -> None:
@@ -66,17 +72,30 @@
         customer.refill(now)
 
     def forget_unused(self, now: float, queue: HardLimitQueue) -> None:
-        """Drops customers that are unused and were last seen more than `FORGET_AFTER_MS` ago."""
-        if now < self._next_sweep_at:
+        """Drops customers that are unused and were last seen more than `FORGET_AFTER_MS` ago.
+
+        While the customers nearly exceed the memory, unused ones are dropped at once. Their buckets are full,
+        so that they lose nothing and gain nothing.
+        """
+        is_crowded = len(self.customers.by_key) > self.CROWDED_SHARE * self.customers.max_count
+        if now < (self._next_crowded_sweep_at if is_crowded else self._next_sweep_at):
             return
         self._next_sweep_at = now + self.SWEEP_FRACTION * self.FORGET_AFTER_MS
+        self._next_crowded_sweep_at = now + self.CROWDED_SWEEP_MS
+        forget_after_ms = 0.0 if is_crowded else self.FORGET_AFTER_MS
         for key, customer in list(self.customers.by_key.items()):
-            is_forgettable = (
-                self._is_unused(customer, now) and now - customer.last_seen_at > self.FORGET_AFTER_MS
-            )
+            is_forgettable = self._is_unused(customer, now) and now - customer.last_seen_at > forget_after_ms
+            if is_crowded and customer.peers and customer.units_used != customer.units_reported:
+                continue  # its peers do not know yet what it has used
             if is_forgettable and not queue.has_requests(customer):
                 del self.customers.by_key[key]
 
+    def on_customer_limit_changed(
+        self, _now: float, event: CustomerLimitChanged, _sink: DecisionSink
+    ) -> None:
+        """Sets the number of customers that the memory holds."""
+        self.customers.max_count = event.max_customers
+
     def _is_unused(self, customer: CustomerQuota, now: float) -> bool:
         """Returns whether the customer has full buckets, no attempts in flight and no leases."""
         customer.refill(now)
--- a/onyxpost/policy/request_rejection.py
+++ b/onyxpost/policy/request_rejection.py
@@ -14,6 +14,7 @@
     """Rejects requests (429) with a `Retry-After` no longer than the deployment permits."""
 
     RETRY_AFTER_FRACTION = 0.03  # Retry-After for lack of capacity, as a fraction of the latency objective
+    NEW_CUSTOMER_RETRY_AFTER_MS = 250.0  # unused customers are dropped in the meantime
 
     def __init__(self, max_retry_after_ms: float, leases: LeaseHolder) -> None:
         self._max_retry_after_ms = max_retry_after_ms
@@ -37,5 +38,9 @@
         self._leases.report_rejected_units(request, sink)
         self._reject(request, request.customer.quota.wait_ms(request.units), sink)
 
+    def reject_new_customer(self, request_id: str, sink: DecisionSink) -> None:
+        """Rejects a request of a customer that this node's memory cannot hold."""
+        sink.reject(request_id, min(self._max_retry_after_ms, self.NEW_CUSTOMER_RETRY_AFTER_MS))
+
     def _reject(self, request: Request, retry_after_ms: float, sink: DecisionSink) -> None:
         sink.reject(request.id, min(self._max_retry_after_ms, retry_after_ms))
--- a/tests/memory/memory_run.py
+++ b/tests/memory/memory_run.py
@@ -14,6 +14,7 @@
 import tomllib
 from collections import Counter
 from pathlib import Path
+from random import SystemRandom
 from time import monotonic
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -22,7 +23,7 @@
 
 from onyxpost.config.decoding import read_json_file
 from onyxpost.core.units import MS_PER_SECOND
-from onyxpost.simulation.free_ports import ANY_PORT, LOOPBACK, find_free_ports
+from onyxpost.simulation.free_ports import ANY_PORT, LOOPBACK, find_restartable_ports
 from onyxpost.simulation.http_client import HttpClient, RequestFields
 from onyxpost.simulation.stub_upstreams import StubEnvironment
 from tests.memory.behaviors import PLAN, Behavior, draw_behaviors
@@ -170,6 +171,7 @@
         )
     try:
         await _wait_until_ready(int(fields["listen"].rpartition(":")[2]))
+        assert node.returncode is None, "another process listens at the node's port"
         yield node
     finally:
         if node.returncode is None:
@@ -183,7 +185,7 @@
     for server in environment.servers:
         server.page_bytes = PAGE_BYTES
     await environment.open()
-    port = find_free_ports(1)[0]
+    port = find_restartable_ports(1, SystemRandom())[0]
     fields = node_file_fields(case, port, environment)
     try:
         async with running_node(fields, folder, case.descriptors) as node:
--- a/tests/memory/test_memory_limit.py
+++ b/tests/memory/test_memory_limit.py
@@ -17,6 +17,7 @@
 SMALL_BODIES = Behavior(clients=MAX_CLIENTS, content=Content.BODY, size_bytes=3_990, sent_share=0.99)
 HALF_HEADS = Behavior(clients=MAX_CLIENTS, content=Content.LONG_FIELDS, size_bytes=15_000, sent_share=0.95)
 SHORT_FIELDS = Behavior(clients=400, content=Content.SHORT_FIELDS, size_bytes=19_500)
+NEW_CUSTOMERS = Behavior(clients=100, content=Content.SMALL_REQUESTS)
 UNREAD_ANSWERS = Behavior(clients=300, content=Content.BODY, size_bytes=60_000, reads=False)
 
 
@@ -26,6 +27,7 @@
         pytest.param([HALF_BODIES, SMALL_BODIES], id="bodies"),
         pytest.param([HALF_HEADS, SHORT_FIELDS], id="heads"),
         pytest.param([UNREAD_ANSWERS], id="answers"),
+        pytest.param([NEW_CUSTOMERS], id="customers"),
     ],
 )
 def test_bad_clients_do_not_make_a_node_exceed_the_least_memory(behaviors: list[Behavior]) -> None:
--- a/tests/replacement/replacement_run.py
+++ b/tests/replacement/replacement_run.py
@@ -13,7 +13,7 @@
 from collections import Counter
 from enum import StrEnum
 from pathlib import Path
-from random import Random
+from random import Random, SystemRandom
 from time import monotonic
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -22,7 +22,7 @@
 from onyxpost.core.types import EndpointState
 from onyxpost.core.units import MS_PER_SECOND
 from onyxpost.runtime.socket_transport import SocketTransport
-from onyxpost.simulation.free_ports import ANY_PORT, find_free_ports
+from onyxpost.simulation.free_ports import ANY_PORT, find_restartable_ports
 from onyxpost.simulation.http_client import HttpClient, RequestFields, outcome_of
 from onyxpost.simulation.settings import DEPLOYMENT_SETTINGS
 from onyxpost.simulation.stubs import AppServer, DiscoveryAgent
@@ -123,7 +123,7 @@
         for server in self.servers:
             self.agent.update_endpoint(server.endpoint_row())
         self.agent.generation += 1000
-        port = find_free_ports(1)[0]
+        port = find_restartable_ports(1, SystemRandom())[0]
         with tempfile.TemporaryDirectory() as folder:
             async with running_node(self._node_fields(port), Path(folder)):
                 sending = asyncio.create_task(self._send_all(port))
