--- a/onyxpost/core/server_records.py
+++ b/onyxpost/core/server_records.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -65,10 +66,12 @@
     """When a server that warms up gets its next request from this node.
 
     Attributes:
+        known_since: when this node learned of the server's start, in ms; infinite if it knows of none.
         intervals_left: remaining time, in intervals between two requests; the server is due at 0 or below.
     """
 
-    __slots__ = ("intervals_left",)
+    __slots__ = ("intervals_left", "known_since")
 
     def __init__(self) -> None:
+        self.known_since = inf
         self.intervals_left = 0.0
--- a/onyxpost/policy/endpoint_updates.py
+++ b/onyxpost/policy/endpoint_updates.py
@@ -72,15 +72,15 @@
         """Makes sure that the host watches discovery."""
         sink.watch_endpoints()
 
-    def on_endpoints_updated(self, _now: float, event: EndpointsUpdated, _sink: DecisionSink) -> None:
+    def on_endpoints_updated(self, now: float, event: EndpointsUpdated, _sink: DecisionSink) -> None:
         """Updates the server registry and drops the preference orders."""
-        self._servers.update(event, self._create, self._restart)
+        self._servers.update(event, self._create, lambda server: self._restart(now, server))
         self._order.forget()
 
     def _create(self, server_id: str) -> UpstreamServer:
         return UpstreamServer(server_id, self._latency.new_window())
 
-    def _restart(self, server: UpstreamServer) -> None:
+    def _restart(self, now: float, server: UpstreamServer) -> None:
         """Resets results, circuit breaker and slow start of a server whose process has been restarted."""
         server.reset(self._latency.new_window())
-        self._slow_start.restart(server, self._random.next())
+        self._slow_start.restart(now, server, self._random.next())
--- a/onyxpost/policy/slow_start.py
+++ b/onyxpost/policy/slow_start.py
@@ -41,15 +41,20 @@
         self.attempts_sent = SlidingWindowCounter(self._window_ms / slots, slots, RequestCounts)
 
     def warmup_fraction(self, now: float, server: UpstreamServer) -> float:
-        """Returns the fraction of its capacity that a server of this age is certain to have."""
+        """Returns the fraction of its capacity that a server of this age is certain to have.
+
+        The time of the start comes from another clock, which may be ahead of this node's. A server is at
+        least as old as this node's knowledge of its start.
+        """
         started_at = server.endpoint.started_at
-        age_ms = now - started_at
+        age_ms = now - min(started_at, server.slow_start.known_since)
         if started_at <= 0.0 or age_ms >= self._policy.warmup_ms:
             return 1.0
         return max(self._policy.initial_fraction, age_ms / self._policy.warmup_ms)
 
-    def restart(self, server: UpstreamServer, random_number: float) -> None:
-        """Sets the time until a restarted server gets its first request from this node."""
+    def restart(self, now: float, server: UpstreamServer, random_number: float) -> None:
+        """Records a start that becomes known now, and sets the time until the server's first request."""
+        server.slow_start.known_since = now
         # Each node has its own phase, as the first requests of all nodes at once would overload the server.
         phase = self._node_index * self.GOLDEN_RATIO + server.hash / 2.0**32
         server.slow_start.intervals_left = (phase + random_number / self.JITTER_PARTS) % 1.0
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -56,3 +56,15 @@
         host.run(25.0)
     assert len(sent) > 100
     assert max(sent.count(f"s{n}") for n in range(4)) < 0.4 * len(sent)
+
+
+def test_a_server_whose_clock_is_ahead_becomes_warm_in_its_time() -> None:
+    # Guards against a server that is held at a cold share for good, as its start lies in this node's future.
+    host = Host(servers=3, warmup_ms=10000.0)
+    ahead = host.endpoint(3, started_at=host.now + 3_600_000.0)
+    host.update_endpoints(ahead, complete=False)
+    slow_start = host.gateway.selection.slow_start
+    server = host.gateway.state.servers.known["s3"]
+    assert slow_start.warmup_fraction(host.now, server) == 0.2
+    assert slow_start.warmup_fraction(host.now + 5000.0, server) == 0.5
+    assert slow_start.warmup_fraction(host.now + 10000.0, server) == 1.0
