Name a changed memory limit in 'reloaded', as it takes a restart

Need: a SIGHUP with another limits.memory_mb changed nothing and did not say so.

Change: memory_mb is one of the values that take a restart. The new test fails without the change.

--- a/onyxpost/node/reload.py
+++ b/onyxpost/node/reload.py
@@ -8,10 +8,11 @@
 if TYPE_CHECKING:
     from onyxpost.node.node_config import NodeConfig
 
-RESTART_FIELDS = ("name", "listen", "peer_listen", "peers", "deployment", "zone")
+RESTART_FIELDS = ("name", "listen", "peer_listen", "peers", "deployment", "zone", "memory_mb")
 """Fields of `NodeConfig` whose changes require a restart; the log lists them by these names.
 
-The names are those of the file's keys, except `deployment`: its keys are `settings` and `planners.share`.
+The names are those of the file's keys, except `deployment`, whose keys are `settings` and `planners.share`;
+`memory_mb` is in `limits`.
 """
 
 
--- a/tests/edge/test_reload.py
+++ b/tests/edge/test_reload.py
@@ -55,6 +55,10 @@
     assert change.config == config.decode_config(node_fields())
 
 
+def test_a_changed_memory_limit_takes_a_restart() -> None:
+    assert compare({}, {"limits": {"sockets": 256, "memory_mb": 64}}).restart_keys == ("memory_mb",)
+
+
 def test_a_changed_deployment_takes_a_restart() -> None:
     settings = node_fields()["settings"]
     assert compare({}, {"settings": settings | {"quantum_us": 4000}}).restart_keys == ("deployment",)
