--- a/onyxpost/edge/client_components.py
+++ b/onyxpost/edge/client_components.py
@@ -34,7 +34,7 @@
         listener: accepts and reads connections.
         closer: closes connections at their deadlines and during a shutdown.
         eviction: closes connections when descriptors run out.
-        memory: turns clients away when memory runs short.
+        memory: evicts clients when memory runs short.
     """
 
     connections: ClientConnections
--- a/onyxpost/edge/client_connection.py
+++ b/onyxpost/edge/client_connection.py
@@ -1,4 +1,4 @@
-"""The state of a client connection, and the order in which connections are closed to free descriptors."""
+"""The state of a client connection."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
 
     from onyxpost.edge.messages import ClientRequest
     from onyxpost.runtime.transport import ByteCountingReader, Transport
@@ -247,14 +247,3 @@
     """
     idle = (connection for connection in connections if connection.is_idle())
     return sorted(idle, key=lambda connection: connection.waiting_since)
-
-
-def eviction_candidates(connections: Collection[ClientConnection], time: float) -> list[ClientConnection]:
-    """Returns the connections that may be closed to free a descriptor, in order of preference.
-
-    Connections whose request has been expected since before `time` (ms) and is incomplete come first, then
-    idle connections.
-    """
-    slow = [connection for connection in connections if connection.is_request_awaited_since(time)]
-    slow.sort(key=lambda connection: connection.waiting_since)
-    return [*slow, *idle_connections(connections)]
--- a/onyxpost/edge/client_eviction.py
+++ b/onyxpost/edge/client_eviction.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from onyxpost.edge.client_connection import INCOMPLETE_REQUEST_GRACE_MS, eviction_candidates
+from onyxpost.edge.client_connection import INCOMPLETE_REQUEST_GRACE_MS, idle_connections
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from onyxpost.edge.client_connection import ClientConnection
     from onyxpost.edge.client_connections import ClientConnections
     from onyxpost.edge.client_http import ClientHttp
     from onyxpost.runtime.transport import Transport
@@ -51,3 +54,14 @@
         if oldest is not None:
             self._connections.abort(oldest)
         return oldest is not None
+
+
+def eviction_candidates(connections: Collection[ClientConnection], time: float) -> list[ClientConnection]:
+    """Returns the connections that may be closed to free a descriptor, in order of preference.
+
+    Connections whose request has been expected since before `time` (ms) and is incomplete come first, then
+    idle connections.
+    """
+    slow = [connection for connection in connections if connection.is_request_awaited_since(time)]
+    slow.sort(key=lambda connection: connection.waiting_since)
+    return [*slow, *idle_connections(connections)]
--- a/onyxpost/edge/client_http.py
+++ b/onyxpost/edge/client_http.py
@@ -9,6 +9,7 @@
 
 from onyxpost.edge.client_connection import COPY_COUNT, REQUEST_BYTES
 from onyxpost.edge.errors import RequestRejectedError
+from onyxpost.edge.head_lines import MAX_HEAD_LINES, has_too_many_head_lines
 from onyxpost.edge.messages import (
     MAX_BODY_BYTES,
     ClientRequest,
@@ -31,7 +32,6 @@
 # Events decoded for one connection before others get their turn; a usual request has two or three.
 MAX_EVENTS_PER_SLICE = 32
 MAX_BODY_CHUNKS = 1024  # a body of the largest size may have chunks of 64 bytes
-MAX_HEAD_LINES = 100
 # An answer is expected to be as long as the longest one of late; its length decays by this factor an answer.
 EXPECTED_ANSWER_DECAY = 0.99
 MAX_ERROR_TEXT_BYTES = 200  # limits the body of a 4xx answer, which may quote the request
@@ -95,7 +95,7 @@
                 self._begin_closing(connection)
                 return
             connection.on_request_started(self._clock())
-        if _has_too_many_head_lines(connection, data):
+        if has_too_many_head_lines(connection, data):
             self._reject(connection, HEAD_TOO_LARGE, f"over {MAX_HEAD_LINES} lines in the head", close=True)
             return
         if connection.http.their_state is h11.IDLE:
@@ -237,19 +237,3 @@
             self._begin_closing(connection)
             return
         connection.on_next_cycle()
-
-
-def _has_too_many_head_lines(connection: ClientConnection, data: bytes) -> bool:
-    """Returns whether a head that is being received exceeds `MAX_HEAD_LINES`; counts its lines so far.
-
-    It is checked before the head is decoded, because each line costs far more to decode than to count.
-    """
-    http = connection.http
-    if http.their_state is not h11.IDLE:
-        return False
-    connection.head_line_count += data.count(b"\n")
-    if connection.head_line_count <= MAX_HEAD_LINES:
-        return False
-    # The lines counted may include a body behind the head.
-    head, _, _ = (http.trailing_data[0] + data).partition(b"\r\n\r\n")
-    return head.count(b"\n") > MAX_HEAD_LINES
--- a/onyxpost/edge/client_memory.py
+++ b/onyxpost/edge/client_memory.py
@@ -1,4 +1,4 @@
-"""Keeps what clients make a node hold within its memory, by turning clients away."""
+"""Keeps what clients make a node hold within its memory, by evicting clients."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     from onyxpost.runtime.transport import Transport
 
 UNREAD_ANSWER_GRACE_MS = 1_000.0  # for a client to read its answer
-LOG_INTERVAL_MS = 1_000.0  # least time between two log lines about clients that were turned away
+LOG_INTERVAL_MS = 1_000.0  # least time between two log lines about evicted clients
 # Closed connections whose cyclic garbage may wait for the collector; each takes about 1 KiB.
 MAX_UNCOLLECTED_CONNECTIONS = 128
 ABORTED_STATES = (HolderState.UNREAD_ANSWER, HolderState.CLOSING)
@@ -31,7 +31,7 @@
 
 
 class ClientMemory:
-    """Accounts for what each client makes the node hold, and turns clients away beyond the limit.
+    """Accounts for what each client makes the node hold, and evicts clients beyond the limit.
 
     Attributes:
         account: what the clients make the node hold.
@@ -49,9 +49,9 @@
 
         Args:
             connections: the connections to account for.
-            http: answers clients that are turned away.
+            http: answers clients that are evicted.
             transport: the node's transport.
-            log: receives the events that name why clients were turned away.
+            log: receives the events that name why clients were evicted.
             account: the account, without clients.
         """
         self.account = account
@@ -61,8 +61,8 @@
         self._clock = transport.clock
         self._log = log
         self._policy = MemoryPressurePolicy()
-        self._turned_away: Counter[str] = Counter()
-        self._last_turned_away: ClientConnection | None = None
+        self._evictions: Counter[str] = Counter()
+        self._last_evicted: ClientConnection | None = None
         self._logged_at = -LOG_INTERVAL_MS
         self._uncollected_count = 0
 
@@ -81,7 +81,7 @@
             self._transport.collect_garbage()
 
     def admits_request(self, connection: ClientConnection, extra_bytes: int) -> bool:
-        """Returns whether a complete request may wait for its answer; may turn other clients away for it.
+        """Returns whether a complete request may wait for its answer; may evict other clients for it.
 
         Args:
             connection: the connection of the request.
@@ -92,7 +92,7 @@
             self._release(spared=connection)
         if not self.account.is_exceeded():
             return True
-        self._count_turned_away(REQUEST_REJECTED, connection)
+        self._count_eviction(REQUEST_REJECTED, connection)
         return False
 
     def update_all(self) -> None:
@@ -101,7 +101,7 @@
             self._record(connection)
         if self.account.is_exceeded():
             self._release()
-        self._log_turned_away()
+        self._log_evictions()
 
     def held_by_use(self) -> HeldBytes:
         """Returns what all clients together make the node hold, by use."""
@@ -119,8 +119,8 @@
         holders = self._holders(spared)
         for holder in self._policy.select(holders, self.account.used_bytes, self.account.limit_bytes):
             connection = self._connections.find(holder.client_id)
-            if connection is not None and self._may_turn_away(connection):
-                self._turn_away(connection, holder.state)
+            if connection is not None and self._may_evict(connection):
+                self._evict(connection, holder.state)
 
     def _holders(self, spared: ClientConnection | None) -> Iterator[MemoryHolder]:
         now = self._clock()
@@ -148,13 +148,13 @@
             return HolderState.SLOW_REQUEST
         return HolderState.IDLE if connection.is_idle() else HolderState.ARRIVING_REQUEST
 
-    def _may_turn_away(self, connection: ClientConnection) -> bool:
+    def _may_evict(self, connection: ClientConnection) -> bool:
         """Returns False if the first bytes of a request may be in the kernel, as this node may be late."""
         is_awaited = connection.connection_id in self._connections.open and not connection.has_partial_request
         return not is_awaited or connection.is_input_read(self._transport)
 
-    def _turn_away(self, connection: ClientConnection, state: HolderState) -> None:
-        self._count_turned_away(state.name.lower().replace("_", " "), connection)
+    def _evict(self, connection: ClientConnection, state: HolderState) -> None:
+        self._count_eviction(state.name.lower().replace("_", " "), connection)
         if state in ABORTED_STATES:
             self._connections.begin_closing(connection)
             self._connections.abort(connection)
@@ -166,21 +166,21 @@
             self._connections.begin_closing(connection)
         self._record(connection)
 
-    def _count_turned_away(self, reason: str, connection: ClientConnection) -> None:
-        self._turned_away[reason] += 1
-        self._last_turned_away = connection
+    def _count_eviction(self, reason: str, connection: ClientConnection) -> None:
+        self._evictions[reason] += 1
+        self._last_evicted = connection
 
-    def _log_turned_away(self) -> None:
+    def _log_evictions(self) -> None:
         now = self._clock()
-        if self._last_turned_away is None or now < self._logged_at + LOG_INTERVAL_MS:
+        if self._last_evicted is None or now < self._logged_at + LOG_INTERVAL_MS:
             return
         fields = {
-            "reasons": dict(self._turned_away),
-            "last_connection": self._last_turned_away.connection_id,
+            "reasons": dict(self._evictions),
+            "last_connection": self._last_evicted.connection_id,
             "limit_bytes": self.account.limit_bytes,
             "held_bytes": self.held_by_use()._asdict(),
         }
         self._log(LogEvent("memory short", fields, logging.WARNING))
         self._logged_at = now
-        self._turned_away.clear()
-        self._last_turned_away = None
+        self._evictions.clear()
+        self._last_evicted = None
--- a/tests/edge/test_costly_requests.py
+++ b/tests/edge/test_costly_requests.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from onyxpost.edge.client_http import MAX_BODY_CHUNKS, MAX_EVENTS_PER_SLICE, MAX_HEAD_LINES, ClientHttp
+from onyxpost.edge.client_http import MAX_BODY_CHUNKS, MAX_EVENTS_PER_SLICE, ClientHttp
+from onyxpost.edge.head_lines import MAX_HEAD_LINES
 from tests.edge.event_loop import in_event_loop
 from tests.edge.harness import RunningNode, StubAppServer, encode_request
 
